--- /dev/null
+++ b/demo/main.ts
@@ -0,0 +1,273 @@
+/**
+ * Runs the whole path on one machine as separate processes, checks every answer
+ * against its own request, and ends by itself: exit code 0 when every promise
+ * was kept, 1 otherwise. `npm run demo -- consortium` takes the other user's settings.
+ */
+import {request} from 'undici';
+import {type CallResult, isOwnAnswer, submit} from '../harness/caller.js';
+import {Cluster} from '../harness/cluster.js';
+import {readDeployment} from '../harness/deployment.js';
+import {waitUntil} from '../harness/wait.js';
+
+const PLAIN_REQUESTS = 200;
+const KEYED_REQUESTS = 50;
+const GANGS = 4;
+const QUICK_RUN_MS = 5;
+const SLOW_RUN_MS = 100;
+const IN_FORCE_TARGET_MS = 3000;
+
+interface Kinds {
+  readonly plain: string;
+  readonly keyed: string;
+  readonly gang: string;
+  readonly workspace: string;
+}
+
+const KINDS: Readonly<Record<string, Kinds>> = {
+  foundry: {
+    plain: 'pitch-check',
+    keyed: 'chime-fit',
+    gang: 'modal-sweep',
+    workspace: 'orquesta',
+  },
+  consortium: {
+    plain: 'order-status',
+    keyed: 'bulk-order',
+    gang: 'reconciliation',
+    workspace: 'lanka-tags',
+  },
+};
+
+class Demo {
+  private readonly counts = new Map<string, number>();
+  private readonly broken: string[] = [];
+  private next = 0;
+
+  constructor(
+    private readonly cluster: Cluster,
+    private readonly kinds: Kinds,
+  ) {}
+
+  async run(): Promise<boolean> {
+    await this.plain('plain requests', PLAIN_REQUESTS);
+    await this.keyed();
+    await this.gangs();
+    await this.edits();
+    await this.leaving();
+    await this.gracefulStop();
+    await this.report();
+    return this.broken.length === 0;
+  }
+
+  private call(
+    kind: string,
+    body: object,
+    key?: string,
+  ): Promise<CallResult & {asked: string}> {
+    const id = `demo-${this.next++}`;
+    const gates = this.cluster.gates.filter(g => g.isRunning);
+    const gate = gates[this.next % gates.length].http;
+    return submit({
+      gate,
+      token: this.cluster.workspaceToken(this.kinds.workspace),
+      kind,
+      body: {id, ...body},
+      key,
+    }).then(r => ({...r, asked: id}));
+  }
+
+  /** Counts an outcome, and notes a promise as broken when it is not `done` with the caller's own answer. */
+  private check(step: string, result: CallResult, asked: string): void {
+    const label = `${step}: ${result.outcome}`;
+    this.counts.set(label, (this.counts.get(label) ?? 0) + 1);
+    if (result.outcome !== 'done')
+      this.broken.push(
+        `${step} ${asked} ended ${result.outcome}: ${result.text}`,
+      );
+    else if (!isOwnAnswer(result, asked))
+      this.broken.push(`${step} ${asked} got another answer: ${result.text}`);
+  }
+
+  private async plain(
+    step: string,
+    count: number,
+    runMs = QUICK_RUN_MS,
+  ): Promise<void> {
+    const results = await Promise.all(
+      Array.from({length: count}, () => this.call(this.kinds.plain, {runMs})),
+    );
+    for (const result of results) this.check(step, result, result.asked);
+  }
+
+  private async keyed(): Promise<void> {
+    const results = await Promise.all(
+      Array.from({length: KEYED_REQUESTS}, (unused, i) =>
+        this.call(this.kinds.keyed, {runMs: 5}, `demo-key-${i}`),
+      ),
+    );
+    for (const result of results)
+      this.check('requests with a key', result, result.asked);
+    const first = results[0];
+    const again = await submit({
+      gate: this.cluster.gates[this.cluster.gates.length - 1].http,
+      token: this.cluster.workspaceToken(this.kinds.workspace),
+      kind: this.kinds.keyed,
+      body: {id: first.asked, runMs: 5},
+      key: 'demo-key-0',
+    });
+    this.check('same key sent again to another gate', again, first.asked);
+  }
+
+  private async gangs(): Promise<void> {
+    const results = await Promise.all(
+      Array.from({length: GANGS}, () =>
+        this.call(this.kinds.gang, {runMs: 300}),
+      ),
+    );
+    for (const result of results) this.check('gangs', result, result.asked);
+  }
+
+  /** One edit of each table; each must be in force at every process in time. */
+  private async edits(): Promise<void> {
+    const {tables} = this.cluster.options.files;
+    const routes = [...tables.routes, {...tables.routes[0], kind: 'demo-kind'}];
+    const pools = tables.pools.map(p => ({
+      ...p,
+      workspaces: [...p.workspaces, {name: 'demo-guest', guarantee: []}],
+    }));
+    for (const [table, rows] of [
+      ['routes', routes],
+      ['pools', pools],
+    ] as const) {
+      const startedMs = performance.now();
+      const version = await this.cluster.putTable(table, rows);
+      await this.waitForVersion(table, version);
+      const tookMs = performance.now() - startedMs;
+      console.log(
+        `edit of ${table}: in force at every process after ${Math.round(tookMs)} ms`,
+      );
+      if (tookMs > IN_FORCE_TARGET_MS)
+        this.broken.push(`edit of ${table} took ${Math.round(tookMs)} ms`);
+    }
+  }
+
+  private async waitForVersion(
+    table: 'routes' | 'pools',
+    version: number,
+  ): Promise<void> {
+    await waitUntil(
+      `version ${version} of ${table} is in force`,
+      20_000,
+      async () => {
+        for (const gate of this.cluster.gates.filter(g => g.isRunning)) {
+          const {json} = await this.cluster.operator(
+            'GET',
+            '/v1/status',
+            undefined,
+            undefined,
+            gate,
+          );
+          const status = json as {
+            versions: Record<string, number>;
+            agentVersions: {versions: Record<string, number>}[];
+          };
+          if (
+            [status, ...status.agentVersions].some(
+              s => s.versions[table] < version,
+            )
+          )
+            return false;
+        }
+        return true;
+      },
+    );
+  }
+
+  private async leaving(): Promise<void> {
+    const {backend} = this.cluster.instances[0];
+    await request(`${backend.http}/leave`, {method: 'POST'}).then(r =>
+      r.body.dump(),
+    );
+    await this.plain('requests while a backend server leaves', PLAIN_REQUESTS);
+  }
+
+  private async gracefulStop(): Promise<void> {
+    const load = this.plain(
+      'requests while a gate and an agent stop',
+      PLAIN_REQUESTS,
+      SLOW_RUN_MS,
+    );
+    const gate = this.cluster.gates[0];
+    const agent = this.cluster.instances[1].agent;
+    const codes = await Promise.all([gate.stop(), agent.stop()]);
+    await load;
+    if (codes.some(code => code !== 0))
+      this.broken.push(`a graceful stop ended with codes ${codes.join(', ')}`);
+    await this.plain('requests after the stop', PLAIN_REQUESTS);
+  }
+
+  private async report(): Promise<void> {
+    for (const [label, count] of this.counts) console.log(`${label}: ${count}`);
+    const runs = await Promise.all(
+      this.cluster.instances.map(i => runsOf(i.backend.http)),
+    );
+    const times = new Map<string, number>();
+    for (const {id} of runs.flat()) times.set(id, (times.get(id) ?? 0) + 1);
+    const doubled = [...times.values()].filter(n => n > 1).length;
+    const cut = runs.flat().filter(r => r.cut).length;
+    console.log(
+      `runs seen by backend servers: ${runs.flat().length}, of them doubled: ${doubled}, cut: ${cut}`,
+    );
+    if (doubled > 0) this.broken.push(`${doubled} requests ran twice`);
+    const gate = this.cluster.gates.find(g => g.isRunning)!;
+    const {json} = await this.cluster.operator(
+      'GET',
+      '/v1/status',
+      undefined,
+      undefined,
+      gate,
+    );
+    const status = json as {
+      versions: object;
+      agentVersions: {agent: string; versions: object}[];
+    };
+    console.log(
+      `configuration at ${gate.name}: ${JSON.stringify(status.versions)}`,
+    );
+    for (const {agent, versions} of status.agentVersions)
+      console.log(`configuration at ${agent}: ${JSON.stringify(versions)}`);
+    for (const text of this.broken) console.log(`BROKEN: ${text}`);
+    console.log(
+      this.broken.length === 0
+        ? 'every promise was kept'
+        : `${this.broken.length} promises were broken`,
+    );
+  }
+}
+
+interface BackendRun {
+  readonly id: string;
+  readonly cut: boolean;
+}
+
+async function runsOf(backend: string): Promise<BackendRun[]> {
+  const res = await request(`${backend}/runs`);
+  return ((await res.body.json()) as {runs: BackendRun[]}).runs;
+}
+
+const user = process.argv[2] ?? 'foundry';
+if (!(user in KINDS)) {
+  console.error(
+    `no settings for "${user}"; use one of ${Object.keys(KINDS).join(', ')}`,
+  );
+  process.exit(2);
+}
+console.log(`starting the ${user}'s processes`);
+const cluster = await Cluster.start({files: readDeployment(user)});
+let kept = false;
+try {
+  kept = await new Demo(cluster, KINDS[user]).run();
+} finally {
+  await cluster.stop();
+}
+process.exit(kept ? 0 : 1);
--- /dev/null
+++ b/harness/caller.ts
@@ -0,0 +1,103 @@
+/** A caller of the system. */
+import {Agent, request} from 'undici';
+
+const TIMEOUT_MS = 60_000;
+const dispatcher = new Agent({connections: 512});
+
+export interface CallOptions {
+  readonly gate: string;
+  readonly token: string;
+  readonly kind: string;
+  readonly body: {readonly id: string; readonly [name: string]: unknown};
+  readonly key?: string;
+  readonly waitMs?: number;
+  readonly deadlineMs?: number;
+}
+
+/** What a caller was told. */
+export interface CallResult {
+  readonly status: number;
+  /** Absent when no gate answered. */
+  readonly outcome: string;
+  readonly id: string | undefined;
+  readonly text: string;
+}
+
+export const NO_ANSWER = 'no_answer';
+
+/** Submits one request and waits for its end. */
+export async function submit(options: CallOptions): Promise<CallResult> {
+  const headers: Record<string, string> = {
+    authorization: `Bearer ${options.token}`,
+    'content-type': 'application/json',
+  };
+  if (options.key) headers['idempotency-key'] = options.key;
+  if (options.deadlineMs) headers['x-deadline-ms'] = String(options.deadlineMs);
+  const query = options.waitMs === undefined ? '' : `?wait=${options.waitMs}`;
+  return send(
+    'POST',
+    `${options.gate}/v1/requests/${options.kind}${query}`,
+    headers,
+    JSON.stringify(options.body),
+  );
+}
+
+/** Asks for the end of a request. */
+export function lookUp(
+  gate: string,
+  token: string,
+  id: string,
+  waitMs: number,
+): Promise<CallResult> {
+  return send('GET', `${gate}/v1/requests/${id}?wait=${waitMs}`, {
+    authorization: `Bearer ${token}`,
+  });
+}
+
+export function cancel(
+  gate: string,
+  token: string,
+  id: string,
+): Promise<CallResult> {
+  return send('DELETE', `${gate}/v1/requests/${id}`, {
+    authorization: `Bearer ${token}`,
+  });
+}
+
+/** True when the answer is whole and is that of the request with this id. */
+export function isOwnAnswer(result: CallResult, id: string): boolean {
+  try {
+    return (JSON.parse(result.text) as {ran?: string}).ran === id;
+  } catch {
+    return false;
+  }
+}
+
+async function send(
+  method: 'POST' | 'GET' | 'DELETE',
+  url: string,
+  headers: Record<string, string>,
+  body?: string,
+): Promise<CallResult> {
+  try {
+    const res = await request(url, {
+      method,
+      headers,
+      body,
+      dispatcher,
+      headersTimeout: TIMEOUT_MS,
+      signal: AbortSignal.timeout(TIMEOUT_MS),
+    });
+    const text = await res.body.text();
+    const outcome = String(res.headers['x-lagoonshunt-outcome'] ?? 'error');
+    const location = res.headers.location as string | undefined;
+    return {
+      status: res.statusCode,
+      outcome,
+      id: location?.split('/').pop(),
+      text,
+    };
+  } catch {
+    return {status: 0, outcome: NO_ANSWER, id: undefined, text: ''};
+  }
+}
--- /dev/null
+++ b/harness/cluster.ts
@@ -0,0 +1,266 @@
+/** Starts a whole deployment as separate processes on loopback. */
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {request} from 'undici';
+import {type DeploymentFiles, type Template, placesOf} from './deployment.js';
+import {ManagedProcess} from './managed_process.js';
+import {waitUntil} from './wait.js';
+
+const DAEMON = 'dist/src/cli/main.js';
+const STANDINS = 'dist/standins/main.js';
+const READY_TIMEOUT_MS = 20_000;
+
+export interface ClusterOptions {
+  readonly files: DeploymentFiles;
+  readonly gates?: number;
+  readonly instances?: number;
+  /** Put into the settings of every gate. */
+  readonly gateOverrides?: Template;
+  /** Put into the settings of every agent. */
+  readonly agentOverrides?: Template;
+  /** Addresses that agents dial instead of the gates' own, such as relays. */
+  readonly seedGates?: (links: readonly string[]) => string[];
+}
+
+/** One backend server with its agent and its worker. */
+export interface Instance {
+  agent: ManagedProcess;
+  readonly worker: ManagedProcess;
+  readonly backend: ManagedProcess;
+}
+
+export class Cluster {
+  readonly gates: ManagedProcess[] = [];
+  readonly instances: Instance[] = [];
+  table!: ManagedProcess;
+  private readonly folder = mkdtempSync(join(tmpdir(), 'lagoonshunt-'));
+
+  private constructor(readonly options: ClusterOptions) {}
+
+  /** Starts all processes and waits until the tables are in force at every gate. */
+  static async start(options: ClusterOptions): Promise<Cluster> {
+    const cluster = new Cluster(options);
+    try {
+      await cluster.startAll();
+    } catch (err) {
+      await cluster.stop();
+      throw err;
+    }
+    return cluster;
+  }
+
+  get operatorToken(): string {
+    return (this.options.files.gate.operatorTokens as string[])[0];
+  }
+
+  workspaceToken(workspace: string): string {
+    const entries = this.options.files.gate.workspaceTokens as {
+      workspace: string;
+      token: string;
+    }[];
+    return entries.find(e => e.workspace === workspace)!.token;
+  }
+
+  /** Ends every process that is left. */
+  async stop(): Promise<void> {
+    const all = [
+      ...this.gates,
+      ...this.instances.flatMap(i => [i.agent, i.worker, i.backend]),
+      this.table,
+    ];
+    await Promise.all(all.filter(p => p !== undefined).map(p => p.kill()));
+    rmSync(this.folder, {recursive: true, force: true});
+  }
+
+  async startGate(index: number): Promise<ManagedProcess> {
+    const {files} = this.options;
+    const id = `gate-${index + 1}`;
+    const {region, dataCentres} = files.deployment;
+    const dataCentre = dataCentres[index % dataCentres.length];
+    const settings = {
+      ...files.gate,
+      ...this.options.gateOverrides,
+      id,
+      place: {region, dataCentre},
+      httpPort: 0,
+      linkPort: 0,
+      tableService: this.table.http,
+    };
+    return ManagedProcess.start(id, [
+      DAEMON,
+      'gate',
+      '--settings',
+      this.writeSettings(id, settings),
+    ]);
+  }
+
+  /** Starts the agent of an instance; `announcePort` keeps a former agent's port. */
+  async startAgent(
+    index: number,
+    worker: ManagedProcess,
+    announcePort = 0,
+  ): Promise<ManagedProcess> {
+    const {files} = this.options;
+    const id = `${files.deployment.service}-${index + 1}`;
+    const place = {
+      region: files.deployment.region,
+      ...placesOf(files.deployment)[index],
+    };
+    const links = this.gates.map(g => g.link!);
+    const seedGates = this.options.seedGates?.(links) ?? links;
+    const settings = {
+      ...files.agent,
+      ...this.options.agentOverrides,
+      id,
+      place,
+      announcePort,
+      seedGates,
+      worker: worker.http,
+    };
+    return ManagedProcess.start(id, [
+      DAEMON,
+      'agent',
+      '--settings',
+      this.writeSettings(id, settings),
+    ]);
+  }
+
+  /** Calls a gate as an operator. */
+  async operator(
+    method: 'GET' | 'PUT',
+    path: string,
+    body?: unknown,
+    ifMatch?: string,
+    gate = this.gates[0],
+  ) {
+    const headers: Record<string, string> = {
+      authorization: `Bearer ${this.operatorToken}`,
+    };
+    if (body !== undefined) headers['content-type'] = 'application/json';
+    if (ifMatch !== undefined) headers['if-match'] = ifMatch;
+    const res = await request(gate.http + path, {
+      method,
+      headers,
+      body: body === undefined ? undefined : JSON.stringify(body),
+    });
+    const text = await res.body.text();
+    return {
+      status: res.statusCode,
+      headers: res.headers,
+      json: JSON.parse(text) as never,
+    };
+  }
+
+  /** Replaces a table; returns its new version. */
+  async putTable(
+    table: 'routes' | 'pools',
+    rows: unknown,
+    gate = this.gates[0],
+  ): Promise<number> {
+    const current = await this.operator(
+      'GET',
+      `/v1/tables/${table}`,
+      undefined,
+      undefined,
+      gate,
+    );
+    const res = await this.operator(
+      'PUT',
+      `/v1/tables/${table}`,
+      {[table]: rows},
+      String(current.headers.etag),
+      gate,
+    );
+    if (res.status !== 200)
+      throw new Error(
+        `the edit of ${table} was answered with ${res.status}: ${JSON.stringify(res.json)}`,
+      );
+    return (res.json as {version: number}).version;
+  }
+
+  private async startAll(): Promise<void> {
+    const {files} = this.options;
+    const gates = this.options.gates ?? files.deployment.gates;
+    const count = this.options.instances ?? files.deployment.instances;
+    this.table = await ManagedProcess.start('table', [STANDINS, 'table']);
+    this.gates.push(
+      ...(await Promise.all(
+        Array.from({length: gates}, (unused, i) => this.startGate(i)),
+      )),
+    );
+    this.instances.push(
+      ...(await Promise.all(
+        Array.from({length: count}, (unused, i) => this.startInstance(i)),
+      )),
+    );
+    await this.putTable('pools', files.tables.pools);
+    await this.putTable('routes', files.tables.routes);
+    await this.waitForReady(count);
+  }
+
+  async startInstance(index: number): Promise<Instance> {
+    const {service, slots} = this.options.files.deployment;
+    const worker = await ManagedProcess.start(`worker-${index + 1}`, [
+      STANDINS,
+      'worker',
+    ]);
+    const agent = await this.startAgent(index, worker);
+    const args = [
+      STANDINS,
+      'backend',
+      '--service',
+      service,
+      '--slots',
+      String(slots),
+      '--agent',
+      agent.http,
+    ];
+    const backend = await ManagedProcess.start(`backend-${index + 1}`, args);
+    return {agent, worker, backend};
+  }
+
+  private async waitForReady(count: number): Promise<void> {
+    await waitUntil(
+      'all gates see all serving agents and both tables',
+      READY_TIMEOUT_MS,
+      async () => {
+        for (const gate of this.gates) {
+          const {json} = await this.operator(
+            'GET',
+            '/v1/status',
+            undefined,
+            undefined,
+            gate,
+          );
+          const status = json as {
+            ready: boolean;
+            versions: {pools: number};
+            agents: {announcement: {state: string}}[];
+            pools: {owner?: string}[];
+          };
+          const serving = status.agents.filter(
+            a => a.announcement.state === 'serving',
+          ).length;
+          const owned =
+            status.pools.length > 0 &&
+            status.pools.every(p => p.owner !== undefined);
+          if (
+            !status.ready ||
+            status.versions.pools === 0 ||
+            serving < count ||
+            !owned
+          )
+            return false;
+        }
+        return true;
+      },
+    );
+  }
+
+  private writeSettings(id: string, settings: Template): string {
+    const file = join(this.folder, `${id}.json`);
+    writeFileSync(file, JSON.stringify(settings));
+    return file;
+  }
+}
--- /dev/null
+++ b/harness/deployment.ts
@@ -0,0 +1,68 @@
+/** Deployments as the settings folder describes them. */
+import {readFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {parse} from 'jsonc-parser';
+import {z} from 'zod';
+import {checkText, requireValid} from '../src/protocol/check.js';
+import {tablesSchema} from '../src/protocol/tables.js';
+
+const deploymentSchema = z.strictObject({
+  region: z.string(),
+  dataCentres: z.array(z.string()).min(1),
+  service: z.string(),
+  instances: z.number().int().min(1),
+  slots: z.number().int().min(1),
+  workersPerRack: z.number().int().min(1),
+  acceleratorsPerWorker: z.number().int(),
+  gates: z.number().int().min(1),
+});
+export type Deployment = z.infer<typeof deploymentSchema>;
+
+/** Template of the settings of one process. */
+export type Template = Record<string, unknown>;
+
+export interface DeploymentFiles {
+  readonly deployment: Deployment;
+  readonly gate: Template;
+  readonly agent: Template;
+  readonly tables: z.infer<typeof tablesSchema>;
+}
+
+/** Place of one instance. */
+export interface InstancePlace {
+  readonly dataCentre: string;
+  readonly rack: string;
+}
+
+/** Reads the settings of one user, such as `foundry`. */
+export function readDeployment(user: string): DeploymentFiles {
+  const read = (name: string) =>
+    readFileSync(join('settings', user, name), 'utf8');
+  return {
+    deployment: requireValid(
+      checkText(read('deployment.jsonc'), deploymentSchema),
+      'deployment.jsonc',
+    ),
+    gate: parse(read('gate.jsonc')) as Template,
+    agent: parse(read('agent.jsonc')) as Template,
+    tables: requireValid(
+      checkText(read('tables.jsonc'), tablesSchema),
+      'tables.jsonc',
+    ),
+  };
+}
+
+/** Spreads instances over the data centres, rack by rack. */
+export function placesOf(deployment: Deployment): InstancePlace[] {
+  const perCentre = Math.ceil(
+    deployment.instances / deployment.dataCentres.length,
+  );
+  return Array.from({length: deployment.instances}, (unused, i) => {
+    const centre = Math.floor(i / perCentre);
+    const rack = Math.floor((i % perCentre) / deployment.workersPerRack);
+    return {
+      dataCentre: deployment.dataCentres[centre],
+      rack: `rack-${rack + 1}`,
+    };
+  });
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,125 @@
+#!/usr/bin/env node
+/** Command line of the project. */
+import {readFileSync} from 'node:fs';
+import {Command} from 'commander';
+import {LagoonError} from '../core/errors.js';
+import {TABLE_NAMES} from '../core/tables.js';
+import {makeDaemon} from '../daemons/wiring.js';
+import {checkText, requireValid} from '../protocol/check.js';
+import {type Settings, settingsSchema} from '../protocol/settings.js';
+import {checkFile} from './check_file.js';
+import {OperatorClient} from './operator_client.js';
+
+const ExitCode = {FAULT: 1, USAGE: 2} as const;
+
+interface GateOptions {
+  readonly gate: string;
+  readonly token: string;
+}
+
+const program = new Command('lagoonshunt')
+  .description(
+    'Scheduler for multi-accelerator jobs under workspace guarantees.',
+  )
+  .showHelpAfterError();
+
+for (const role of ['gate', 'agent'] as const) {
+  program
+    .command(role)
+    .description(`run one ${role}`)
+    .requiredOption('--settings <file>', 'settings file, JSON with comments')
+    .action((options: {settings: string}) => runDaemon(role, options.settings));
+}
+
+program
+  .command('check')
+  .description('check a settings file or a table and name every fault')
+  .argument('<file>')
+  .action((file: string) => console.log(checkFile(file)));
+
+const table = program.command('table').description('read or replace a table');
+withGate(
+  table.command('get').argument('<table>', TABLE_NAMES.join(' or ')),
+).action((name: string, options: GateOptions) =>
+  withClient(options, client => client.getTable(name)),
+);
+withGate(
+  table
+    .command('put')
+    .argument('<table>', TABLE_NAMES.join(' or '))
+    .argument('<file>'),
+)
+  .option(
+    '--if-match <version>',
+    'version that the edit was made on; the current one when absent',
+  )
+  .action(
+    (name: string, file: string, options: GateOptions & {ifMatch?: string}) =>
+      withClient(options, client =>
+        client.putTable(name, readFileSync(file, 'utf8'), options.ifMatch),
+      ),
+  );
+
+withGate(
+  program
+    .command('status')
+    .description('show members, versions, pools and guarantees'),
+).action((options: GateOptions) =>
+  withClient(options, client => client.status()),
+);
+
+withGate(
+  program
+    .command('timeline')
+    .description('show events of all processes in order'),
+)
+  .option('--subject <id>', 'only events of one request, gang or pool')
+  .option('--limit <count>', 'most events to show', '200')
+  .action((options: GateOptions & {subject?: string; limit: string}) =>
+    withClient(options, client =>
+      client.timeline(options.limit, options.subject),
+    ),
+  );
+
+function withGate(command: Command): Command {
+  return command
+    .requiredOption(
+      '--gate <url>',
+      'address of any gate, such as http://127.0.0.1:7000',
+    )
+    .requiredOption('--token <token>', 'token of an operator');
+}
+
+async function withClient(
+  options: GateOptions,
+  call: (client: OperatorClient) => Promise<string>,
+): Promise<void> {
+  console.log(await call(new OperatorClient(options.gate, options.token)));
+}
+
+async function runDaemon(role: Settings['role'], file: string): Promise<void> {
+  const settings = requireValid(
+    checkText(readFileSync(file, 'utf8'), settingsSchema),
+    file,
+  );
+  if (settings.role !== role) {
+    throw new LagoonError(
+      `${file} is for role "${settings.role}"; run "lagoonshunt ${settings.role} --settings ${file}"`,
+    );
+  }
+  const daemon = makeDaemon(settings);
+  const addresses = await daemon.start();
+  console.log(JSON.stringify({ready: settings.id, ...addresses}));
+  for (const signal of ['SIGTERM', 'SIGINT'] as const)
+    process.once(signal, () => void daemon.stop().then(() => process.exit(0)));
+}
+
+try {
+  await program.parseAsync();
+} catch (err) {
+  const known =
+    err instanceof LagoonError || (err as {code?: string}).code === 'ENOENT';
+  console.error(known ? (err as Error).message : err);
+  // A half-started process may hold open sockets, so it ends here at once.
+  process.exit(known ? ExitCode.FAULT : ExitCode.USAGE);
+}
--- /dev/null
+++ b/src/core/agent_directory.ts
@@ -0,0 +1,204 @@
+/** A gate's view of the agents that are connected to it. */
+import {type ProcessRef} from './ids.js';
+import {Random} from './random.js';
+import {
+  type Announcement,
+  BackendState,
+  type Load,
+  type Place,
+} from './vocabulary.js';
+
+/** Failures in a row after which a backend server is ejected. */
+const EJECT_AFTER_FAILURES = 5;
+/** First time out of use, in ms; doubles with each ejection in a row. */
+const EJECT_BASE_MS = 5_000;
+const EJECT_CAP_MS = 60_000;
+/** Largest share of a service's backend servers that may be out of use. */
+const EJECT_MAX_SHARE = 0.5;
+const RANDOM_TRIES = 2;
+
+/** What a gate knows about one agent. */
+export interface AgentView {
+  readonly ref: ProcessRef;
+  readonly place: Place;
+  readonly accelerators: number;
+  announcement: Announcement;
+  /** Requests of this gate that are in flight there. */
+  outstanding: number;
+  /** Busy and queued slots that the agent reported, plus what was sent since. */
+  reported: number;
+  failuresInRow: number;
+  ejections: number;
+  ejectedUntilMs: number;
+}
+
+export class AgentDirectory {
+  private readonly views = new Map<string, AgentView>();
+  private readonly byService = new Map<string, AgentView[]>();
+
+  constructor(
+    private readonly dataCentre: string,
+    private readonly random: Random,
+  ) {}
+
+  /** Adds an agent, or replaces its former incarnation. */
+  add(
+    ref: ProcessRef,
+    place: Place,
+    accelerators: number,
+    announcement: Announcement,
+    load: Load,
+  ): void {
+    this.remove(ref.id);
+    const view: AgentView = {
+      ref,
+      place,
+      accelerators,
+      announcement,
+      outstanding: 0,
+      reported: load.busy + load.queued,
+      failuresInRow: 0,
+      ejections: 0,
+      ejectedUntilMs: 0,
+    };
+    this.views.set(ref.id, view);
+    this.index(view);
+  }
+
+  remove(id: string): void {
+    const view = this.views.get(id);
+    if (!view) return;
+    this.views.delete(id);
+    this.unindex(view);
+  }
+
+  get(id: string): AgentView | undefined {
+    return this.views.get(id);
+  }
+
+  /** The view of exactly this incarnation, if it is connected. */
+  find(ref: ProcessRef): AgentView | undefined {
+    const view = this.views.get(ref.id);
+    return view?.ref.incarnation === ref.incarnation ? view : undefined;
+  }
+
+  all(): Iterable<AgentView> {
+    return this.views.values();
+  }
+
+  announce(ref: ProcessRef, announcement: Announcement): void {
+    const view = this.find(ref);
+    if (!view) return;
+    this.unindex(view);
+    view.announcement = announcement;
+    this.index(view);
+  }
+
+  reportLoad(ref: ProcessRef, load: Load): void {
+    const view = this.find(ref);
+    if (view) view.reported = load.busy + load.queued;
+  }
+
+  /** Slots of all serving backend servers of a service. */
+  slotsOf(service: string): number {
+    return this.serving(service).reduce(
+      (sum, v) => sum + v.announcement.slots,
+      0,
+    );
+  }
+
+  /**
+   * Chooses a backend server with a free slot: the less loaded of two random
+   * ones, in the gate's own data centre first.
+   */
+  choose(
+    service: string,
+    nowMs: number,
+    excluded?: string,
+  ): AgentView | undefined {
+    const usable = this.serving(service).filter(
+      v => v.ejectedUntilMs <= nowMs && v.ref.id !== excluded && hasFreeSlot(v),
+    );
+    const local = usable.filter(v => v.place.dataCentre === this.dataCentre);
+    return this.lessLoaded(local) ?? this.lessLoaded(usable);
+  }
+
+  /** Counts a request sent to an agent. */
+  noteSent(view: AgentView): void {
+    view.outstanding++;
+    view.reported++;
+  }
+
+  /** Counts a request that is no longer in flight at an agent. */
+  noteEnded(ref: ProcessRef): void {
+    const view = this.find(ref);
+    if (!view) return;
+    view.outstanding = Math.max(0, view.outstanding - 1);
+    view.reported = Math.max(0, view.reported - 1);
+  }
+
+  noteSuccess(ref: ProcessRef): void {
+    const view = this.find(ref);
+    if (!view) return;
+    view.failuresInRow = 0;
+    view.ejections = 0;
+  }
+
+  /** Counts a failure; ejects the backend server after several in a row. */
+  noteFailure(ref: ProcessRef, nowMs: number): void {
+    const view = this.find(ref);
+    if (!view) return;
+    view.failuresInRow++;
+    if (view.failuresInRow < EJECT_AFTER_FAILURES) return;
+    if (!this.mayEject(view.announcement.service, nowMs)) return;
+    view.ejectedUntilMs =
+      nowMs + Math.min(EJECT_CAP_MS, EJECT_BASE_MS * 2 ** view.ejections);
+    view.ejections++;
+    view.failuresInRow = 0;
+  }
+
+  private mayEject(service: string, nowMs: number): boolean {
+    const serving = this.serving(service);
+    const ejected = serving.filter(v => v.ejectedUntilMs > nowMs).length;
+    return ejected + 1 <= serving.length * EJECT_MAX_SHARE;
+  }
+
+  private lessLoaded(views: readonly AgentView[]): AgentView | undefined {
+    if (views.length === 0) return undefined;
+    let best = this.random.pick(views);
+    for (let i = 1; i < RANDOM_TRIES; i++) {
+      const other = this.random.pick(views);
+      if (loadOf(other) < loadOf(best)) best = other;
+    }
+    return best;
+  }
+
+  private serving(service: string): readonly AgentView[] {
+    const views = this.byService.get(service) ?? [];
+    return views.filter(v => v.announcement.state === BackendState.SERVING);
+  }
+
+  private index(view: AgentView): void {
+    const {service} = view.announcement;
+    const list = this.byService.get(service);
+    if (list) list.push(view);
+    else this.byService.set(service, [view]);
+  }
+
+  private unindex(view: AgentView): void {
+    const list = this.byService.get(view.announcement.service);
+    const at = list?.indexOf(view) ?? -1;
+    if (at >= 0) list!.splice(at, 1);
+  }
+}
+
+function loadOf(view: AgentView): number {
+  return (
+    Math.max(view.outstanding, view.reported) /
+    Math.max(1, view.announcement.slots)
+  );
+}
+
+function hasFreeSlot(view: AgentView): boolean {
+  return Math.max(view.outstanding, view.reported) < view.announcement.slots;
+}
--- /dev/null
+++ b/src/core/gang_holder.ts
@@ -0,0 +1,470 @@
+/**
+ * An agent's part in gangs: the ledger of its worker's accelerators, the fences of
+ * pool owners, and the leases of running tasks. A task's lease is renewed only
+ * while the owner of the pool confirms that the whole gang is reachable.
+ */
+import {type Answer} from './outcome.js';
+import {TimerHeap} from './timer_heap.js';
+import {type GangMember, type ShareReport, ShareState} from './vocabulary.js';
+
+/** How long the end of a share is remembered. */
+const RETENTION_MS = 15 * 60_000;
+/** A lease is renewed when this part of it has passed. */
+const RENEW_AFTER_SHARE = 1 / 3;
+/** Time after its lease in which a worker may still be stopping a task. */
+export const LAPSE_MARGIN_MS = 3000;
+
+/** Names one attempt to run a gang. */
+export interface GangAttempt {
+  readonly pool: string;
+  readonly epoch: number;
+  readonly gang: string;
+  readonly attempt: number;
+}
+
+interface Share {
+  readonly pool: string;
+  readonly gang: string;
+  readonly attempt: number;
+  readonly members: GangMember[];
+  readonly accelerators: readonly number[];
+  state: ShareState;
+  /** A reservation lapses then. */
+  holdUntilMs: number;
+  /** The worker's lease is valid at least until then. */
+  leaseUntilMs: number;
+  renewedAtMs: number;
+  /** True once the worker was told to stop the task. */
+  stopping: boolean;
+  answer?: Answer;
+}
+
+export type HolderInput =
+  | {
+      readonly type: 'fence';
+      readonly gate: string;
+      readonly pool: string;
+      readonly epoch: number;
+    }
+  | ({
+      readonly type: 'reserve';
+      readonly gate: string;
+      readonly members: GangMember[];
+      readonly holdMs: number;
+    } & GangAttempt)
+  | ({readonly type: 'start'; readonly gate: string} & GangAttempt)
+  | ({
+      readonly type: 'stop';
+      readonly gate: string;
+      readonly checkpoint: boolean;
+    } & GangAttempt)
+  | {
+      readonly type: 'confirm';
+      readonly gate: string;
+      readonly pool: string;
+      readonly epoch: number;
+      readonly gangs: readonly string[];
+    }
+  /** The worker reported the end of a task. */
+  | {
+      readonly type: 'taskEnded';
+      readonly gang: string;
+      readonly attempt: number;
+      readonly state: ShareState;
+      readonly answer?: Answer;
+    }
+  /** The worker renewed a lease; `askedAtMs` is when it was asked to. */
+  | {
+      readonly type: 'renewed';
+      readonly gang: string;
+      readonly attempt: number;
+      readonly askedAtMs: number;
+    }
+  | {readonly type: 'drain'}
+  | {readonly type: 'tick'};
+
+export type HolderEffect =
+  | {
+      readonly type: 'fenceAck';
+      readonly gate: string;
+      readonly pool: string;
+      readonly epoch: number;
+      readonly accepted: boolean;
+      readonly shares: ShareReport[];
+    }
+  | ({
+      readonly type: 'reserveAck';
+      readonly gate: string;
+      readonly accepted: boolean;
+      readonly reason: string;
+    } & GangAttempt)
+  | ({
+      readonly type: 'shareReport';
+      readonly gate: string;
+      readonly state: ShareState;
+      readonly answer?: Answer;
+    } & GangAttempt)
+  | {
+      readonly type: 'startTask';
+      readonly gang: string;
+      readonly attempt: number;
+      readonly accelerators: readonly number[];
+      readonly rank: number;
+      readonly size: number;
+    }
+  | {
+      readonly type: 'renewTask';
+      readonly gang: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: 'stopTask';
+      readonly gang: string;
+      readonly attempt: number;
+      readonly checkpoint: boolean;
+    };
+
+export interface HolderOptions {
+  readonly agent: string;
+  readonly incarnation: string;
+  readonly accelerators: number;
+  /** Lease of a task at its worker, in ms. */
+  readonly taskLeaseMs: number;
+}
+
+interface Owner {
+  epoch: number;
+  gate: string;
+}
+
+export class GangHolder {
+  private readonly owners = new Map<string, Owner>();
+  private readonly shares = new Map<string, Share>();
+  /** Gang that holds each accelerator. */
+  private readonly ledger = new Map<number, string>();
+  private readonly expiries = new TimerHeap<Share>();
+  private draining = false;
+  private effects: HolderEffect[] = [];
+  private nowMs = 0;
+
+  constructor(private readonly options: HolderOptions) {}
+
+  /** Accelerators that some gang holds. */
+  get heldAccelerators(): number {
+    return this.ledger.size;
+  }
+
+  get hasRunning(): boolean {
+    return this.ledger.size > 0;
+  }
+
+  handle(input: HolderInput, nowMs: number): HolderEffect[] {
+    this.nowMs = nowMs;
+    this.effects = [];
+    this.apply(input);
+    return this.effects;
+  }
+
+  private apply(input: HolderInput): void {
+    switch (input.type) {
+      case 'fence':
+        return this.onFence(input);
+      case 'reserve':
+        return this.onReserve(input);
+      case 'start':
+        return this.onStart(input);
+      case 'stop':
+        return this.onStop(input);
+      case 'confirm':
+        return this.onConfirm(input);
+      case 'taskEnded':
+        return this.onTaskEnded(input);
+      case 'renewed':
+        return this.onRenewed(input);
+      case 'drain':
+        this.draining = true;
+        return;
+      case 'tick':
+        return this.onTick();
+    }
+  }
+
+  // Fences.
+
+  private onFence(input: Extract<HolderInput, {type: 'fence'}>): void {
+    const accepted = this.admit(input.gate, input.pool, input.epoch);
+    const epoch = this.owners.get(input.pool)!.epoch;
+    const own = [...this.shares.values()].filter(s => s.pool === input.pool);
+    const shares = own.map(({gang, attempt, state, members}) => ({
+      gang,
+      attempt,
+      state,
+      members,
+    }));
+    this.effects.push({
+      type: 'fenceAck',
+      gate: input.gate,
+      pool: input.pool,
+      epoch,
+      accepted,
+      shares,
+    });
+    if (!accepted) return;
+    for (const share of own)
+      if (share.state === ShareState.DONE) this.report(share);
+  }
+
+  /** True unless a newer owner of the pool is known. */
+  private admit(gate: string, pool: string, epoch: number): boolean {
+    const owner = this.owners.get(pool);
+    if (owner && owner.epoch > epoch) return false;
+    this.owners.set(pool, {epoch, gate});
+    return true;
+  }
+
+  // Reservations.
+
+  private onReserve(input: Extract<HolderInput, {type: 'reserve'}>): void {
+    const reason = this.reasonToRefuse(input);
+    if (reason === undefined) this.reserve(input);
+    const {gate, pool, gang, attempt} = input;
+    const epoch = this.owners.get(pool)!.epoch;
+    this.effects.push({
+      type: 'reserveAck',
+      gate,
+      pool,
+      epoch,
+      gang,
+      attempt,
+      accepted: reason === undefined,
+      reason: reason ?? 'reserved',
+    });
+  }
+
+  private reasonToRefuse(
+    input: Extract<HolderInput, {type: 'reserve'}>,
+  ): string | undefined {
+    if (!this.admit(input.gate, input.pool, input.epoch))
+      return 'a newer owner of the pool is known';
+    if (this.draining) return 'the agent is stopping';
+    const own = this.ownMember(input.members);
+    if (!own) return 'the agent was restarted';
+    const known = this.shares.get(input.gang);
+    if (known && known.attempt >= input.attempt)
+      return `attempt ${known.attempt} is ${known.state}`;
+    if (known && !hasEnded(known))
+      return `attempt ${known.attempt} is ${known.state}`;
+    if (own.accelerators.some(i => i >= this.options.accelerators))
+      return 'no such accelerator';
+    if (own.accelerators.some(i => this.ledger.has(i)))
+      return 'an accelerator is in use';
+    return undefined;
+  }
+
+  private reserve(input: Extract<HolderInput, {type: 'reserve'}>): void {
+    const {accelerators} = this.ownMember(input.members)!;
+    const share: Share = {
+      pool: input.pool,
+      gang: input.gang,
+      attempt: input.attempt,
+      members: input.members,
+      accelerators,
+      state: ShareState.RESERVED,
+      holdUntilMs: this.nowMs + input.holdMs,
+      leaseUntilMs: 0,
+      renewedAtMs: 0,
+      stopping: false,
+    };
+    this.shares.set(input.gang, share);
+    for (const i of accelerators) this.ledger.set(i, input.gang);
+  }
+
+  private ownMember(members: readonly GangMember[]): GangMember | undefined {
+    return members.find(
+      m =>
+        m.agent === this.options.agent &&
+        m.incarnation === this.options.incarnation,
+    );
+  }
+
+  // Tasks.
+
+  private onStart(input: Extract<HolderInput, {type: 'start'}>): void {
+    if (!this.admit(input.gate, input.pool, input.epoch))
+      return this.reportUnknown(input);
+    const share = this.shares.get(input.gang);
+    if (!share || share.attempt !== input.attempt) return this.seal(input);
+    if (share.state !== ShareState.RESERVED) return this.report(share);
+    share.state = ShareState.RUNNING;
+    share.leaseUntilMs = this.nowMs + this.options.taskLeaseMs;
+    share.renewedAtMs = this.nowMs;
+    const rank = share.members.findIndex(m => m.agent === this.options.agent);
+    const {gang, attempt, accelerators, members} = share;
+    this.effects.push({
+      type: 'startTask',
+      gang,
+      attempt,
+      accelerators,
+      rank,
+      size: members.length,
+    });
+    this.report(share);
+  }
+
+  private onStop(input: Extract<HolderInput, {type: 'stop'}>): void {
+    if (!this.admit(input.gate, input.pool, input.epoch))
+      return this.reportUnknown(input);
+    const share = this.shares.get(input.gang);
+    if (!share || share.attempt < input.attempt) return this.seal(input);
+    if (share.state === ShareState.RESERVED) this.end(share, ShareState.SEALED);
+    else if (share.state === ShareState.RUNNING)
+      this.stopTask(share, input.checkpoint);
+    else this.report(share);
+  }
+
+  private stopTask(share: Share, checkpoint: boolean): void {
+    share.stopping = true;
+    this.effects.push({
+      type: 'stopTask',
+      gang: share.gang,
+      attempt: share.attempt,
+      checkpoint,
+    });
+  }
+
+  /** Remembers that this attempt never started here and never will. */
+  private seal(input: GangAttempt & {readonly gate: string}): void {
+    const {pool, gang, attempt} = input;
+    const share: Share = {
+      pool,
+      gang,
+      attempt,
+      members: [],
+      accelerators: [],
+      state: ShareState.SEALED,
+      holdUntilMs: 0,
+      leaseUntilMs: 0,
+      renewedAtMs: 0,
+      stopping: false,
+    };
+    const known = this.shares.get(gang);
+    if (!known || hasEnded(known)) this.shares.set(gang, share);
+    this.expiries.add(this.nowMs + RETENTION_MS, share);
+    this.report(share);
+  }
+
+  private onConfirm(input: Extract<HolderInput, {type: 'confirm'}>): void {
+    if (!this.admit(input.gate, input.pool, input.epoch)) return;
+    for (const gang of input.gangs) {
+      const share = this.shares.get(gang);
+      if (share?.state === ShareState.RUNNING) this.renew(share);
+    }
+  }
+
+  private renew(share: Share): void {
+    if (share.stopping) return;
+    if (this.nowMs > share.leaseUntilMs) return this.lapse(share);
+    if (
+      this.nowMs - share.renewedAtMs <
+      this.options.taskLeaseMs * RENEW_AFTER_SHARE
+    )
+      return;
+    share.renewedAtMs = this.nowMs;
+    this.effects.push({
+      type: 'renewTask',
+      gang: share.gang,
+      attempt: share.attempt,
+    });
+  }
+
+  private onRenewed(input: Extract<HolderInput, {type: 'renewed'}>): void {
+    const share = this.current(input);
+    if (share)
+      share.leaseUntilMs = Math.max(
+        share.leaseUntilMs,
+        input.askedAtMs + this.options.taskLeaseMs,
+      );
+  }
+
+  private onTaskEnded(input: Extract<HolderInput, {type: 'taskEnded'}>): void {
+    const share = this.current(input);
+    if (!share) return;
+    share.answer = input.answer;
+    this.end(share, input.state);
+  }
+
+  private current(input: {
+    readonly gang: string;
+    readonly attempt: number;
+  }): Share | undefined {
+    const share = this.shares.get(input.gang);
+    if (share?.attempt !== input.attempt || share.state !== ShareState.RUNNING)
+      return undefined;
+    return share;
+  }
+
+  // Time.
+
+  private onTick(): void {
+    for (const share of [...this.shares.values()]) {
+      if (share.state === ShareState.RESERVED && this.nowMs > share.holdUntilMs)
+        this.end(share, ShareState.SEALED);
+      if (share.state === ShareState.RUNNING && this.nowMs > share.leaseUntilMs)
+        this.lapse(share);
+    }
+    for (const share of this.expiries.takeDue(this.nowMs)) {
+      if (this.shares.get(share.gang) === share) this.shares.delete(share.gang);
+    }
+  }
+
+  /** The lease has passed: the worker stops the task by itself; it is told as well. */
+  private lapse(share: Share): void {
+    if (!share.stopping) this.stopTask(share, false);
+    if (this.nowMs <= share.leaseUntilMs + LAPSE_MARGIN_MS) return;
+    this.end(share, ShareState.STOPPED);
+  }
+
+  private end(share: Share, state: ShareState): void {
+    share.state = state;
+    for (const i of share.accelerators)
+      if (this.ledger.get(i) === share.gang) this.ledger.delete(i);
+    this.expiries.add(this.nowMs + RETENTION_MS, share);
+    this.report(share);
+  }
+
+  private report(share: Share): void {
+    const owner = this.owners.get(share.pool);
+    if (!owner) return;
+    const {pool, gang, attempt, state, answer} = share;
+    const isFirst = share.members[0]?.agent === this.options.agent;
+    this.effects.push({
+      type: 'shareReport',
+      gate: owner.gate,
+      pool,
+      epoch: owner.epoch,
+      gang,
+      attempt,
+      state,
+      answer: isFirst ? answer : undefined,
+    });
+  }
+
+  /** Tells a former owner of the pool that it has been succeeded. */
+  private reportUnknown(input: GangAttempt & {readonly gate: string}): void {
+    const {epoch} = this.owners.get(input.pool)!;
+    this.effects.push({
+      type: 'fenceAck',
+      gate: input.gate,
+      pool: input.pool,
+      epoch,
+      accepted: false,
+      shares: [],
+    });
+  }
+}
+
+function hasEnded(share: Share): boolean {
+  return (
+    share.state !== ShareState.RESERVED && share.state !== ShareState.RUNNING
+  );
+}
--- /dev/null
+++ b/src/core/random.ts
@@ -0,0 +1,43 @@
+/** Seeded source of random numbers, so that runs can be repeated. */
+export class Random {
+  private state: number;
+
+  constructor(seed: number) {
+    this.state = seed >>> 0 || 1;
+  }
+
+  /** A number in [0, 1). */
+  next(): number {
+    this.state = (this.state + 0x6d2b79f5) >>> 0;
+    let t = this.state;
+    t = Math.imul(t ^ (t >>> 15), t | 1);
+    t ^= t + Math.imul(t ^ (t >>> 7), t | 61);
+    return ((t ^ (t >>> 14)) >>> 0) / 4294967296;
+  }
+
+  /** An integer in [0, limit). */
+  below(limit: number): number {
+    return Math.floor(this.next() * limit);
+  }
+
+  /** One element of a list that is not empty. */
+  pick<T>(list: readonly T[]): T {
+    return list[this.below(list.length)];
+  }
+
+  /** An exponentially distributed number with the given mean. */
+  exponential(mean: number): number {
+    return -mean * Math.log(1 - this.next());
+  }
+}
+
+/** Delay before attempt `attempt` (from 0), with full jitter, in ms. */
+export function backoffMs(
+  random: Random,
+  attempt: number,
+  baseMs: number,
+  capMs: number,
+): number {
+  const ceilingMs = Math.min(capMs, baseMs * 2 ** attempt);
+  return Math.ceil(ceilingMs / 2 + (random.next() * ceilingMs) / 2);
+}
--- /dev/null
+++ b/src/core/rendezvous.ts
@@ -0,0 +1,27 @@
+/** Rendezvous hashing: every process picks the same member of a list for a key. */
+
+/** The member with the highest hash for a key; undefined for an empty list. */
+export function pickByRendezvous(
+  key: string,
+  members: readonly string[],
+): string | undefined {
+  let best: string | undefined;
+  let bestHash = -1;
+  for (const member of members) {
+    const hash = hashText(`${key}/${member}`);
+    if (hash <= bestHash) continue;
+    best = member;
+    bestHash = hash;
+  }
+  return best;
+}
+
+/** 32-bit FNV-1a hash with a final mix. */
+function hashText(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let i = 0; i < text.length; i++) {
+    hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193);
+  }
+  hash = Math.imul(hash ^ (hash >>> 16), 0x45d9f3b);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/src/core/request_executor.ts
@@ -0,0 +1,555 @@
+/**
+ * Runs plain requests at the backend server beside an agent. It keeps the slot
+ * limit, never starts a run twice, and remembers what it refused, so that its
+ * word "never started" can be relied on.
+ */
+import {parseRequestId} from './ids.js';
+import {type Answer} from './outcome.js';
+import {TimerHeap} from './timer_heap.js';
+import {
+  type Announcement,
+  BackendState,
+  type Load,
+  RefusalReason,
+  RunEnd,
+  Trace,
+} from './vocabulary.js';
+
+/** How long the end of a run is remembered. */
+export const RETENTION_MS = 15 * 60_000;
+/** Age of a request id from which a missing record proves nothing. */
+const FORGOTTEN_AGE_MS = 10 * 60_000;
+/** Time after its deadline at which a run that gave no answer is given up. */
+const HANG_GRACE_MS = 30_000;
+/** Announcements that may be missed before the backend server counts as absent. */
+const MISSED_ANNOUNCEMENTS = 3;
+
+const RecordState = {
+  QUEUED: 'queued',
+  STARTED: 'started',
+  ENDED: 'ended',
+  SEALED: 'sealed',
+} as const;
+type RecordState = (typeof RecordState)[keyof typeof RecordState];
+
+interface RunRecord {
+  readonly run: string;
+  state: RecordState;
+  /** Highest attempt seen. */
+  attempt: number;
+  /** Attempts up to this one were refused and never start. */
+  sealedAttempt: number;
+  deadlineAtMs: number;
+  /** The record is kept at least until then. */
+  keepUntilMs: number;
+  /** Gates that wait for the end. */
+  readonly gates: Set<string>;
+  end?: RunEnd;
+  answer?: Answer;
+}
+
+export type ExecutorInput =
+  | {
+      readonly type: 'dispatch';
+      readonly gate: string;
+      readonly run: string;
+      readonly attempt: number;
+      readonly service: string;
+      readonly remainingMs: number;
+    }
+  | {
+      readonly type: 'seal' | 'inquire' | 'cancel';
+      readonly gate: string;
+      readonly run: string;
+      readonly attempt: number;
+    }
+  | {readonly type: 'ack'; readonly gate: string; readonly run: string}
+  | {readonly type: 'gateUp'; readonly gate: string}
+  | {readonly type: 'announce'; readonly announcement: Announcement}
+  /** The backend server ended a run; `unreachable` means that nothing was sent. */
+  | {
+      readonly type: 'ended';
+      readonly run: string;
+      readonly end: RunEnd | 'unreachable';
+      readonly answer?: Answer;
+    }
+  | {readonly type: 'tick'};
+
+export type ExecutorEffect =
+  /** Send the request to the backend server. */
+  | {readonly type: 'call'; readonly run: string; readonly remainingMs: number}
+  /** Break off a running call. */
+  | {readonly type: 'abort'; readonly run: string}
+  /** The request body is no longer needed. */
+  | {readonly type: 'dropBody'; readonly run: string}
+  | {
+      readonly type: 'refused';
+      readonly gate: string;
+      readonly run: string;
+      readonly attempt: number;
+      readonly reason: RefusalReason;
+    }
+  | {
+      readonly type: 'trace';
+      readonly gate: string;
+      readonly run: string;
+      readonly attempt: number;
+      readonly trace: Trace;
+    }
+  | {
+      readonly type: 'result';
+      readonly gate: string;
+      readonly run: string;
+      readonly attempt: number;
+      readonly end: RunEnd;
+      readonly answer?: Answer;
+    }
+  /** Announcement or load changed: tell all gates. */
+  | {readonly type: 'announce'; readonly announcement: Announcement};
+
+export interface ExecutorOptions {
+  /** Time between two announcements of the backend server, in ms. */
+  readonly announcementMs: number;
+  /** Most records held; further requests are refused. */
+  readonly maxRecords: number;
+  /** Most bytes of answers held. */
+  readonly maxAnswerBytes: number;
+}
+
+export class RequestExecutor {
+  private readonly records = new Map<string, RunRecord>();
+  private readonly queue: RunRecord[] = [];
+  private readonly deadlines = new TimerHeap<string>();
+  private readonly expiries = new TimerHeap<string>();
+  private announcement: Announcement = {
+    service: '',
+    slots: 0,
+    state: BackendState.ABSENT,
+  };
+  private announcedAtMs = 0;
+  private busy = 0;
+  private answerBytes = 0;
+  private draining = false;
+  private effects: ExecutorEffect[] = [];
+  private nowMs = 0;
+  private wallMs = 0;
+
+  constructor(private readonly options: ExecutorOptions) {}
+
+  get load(): Load {
+    return {busy: this.busy, queued: this.queue.length};
+  }
+
+  get currentAnnouncement(): Announcement {
+    return this.announcement;
+  }
+
+  get recordCount(): number {
+    return this.records.size;
+  }
+
+  /** True when nothing runs and nothing waits. */
+  get isIdle(): boolean {
+    return this.busy === 0 && this.queue.length === 0;
+  }
+
+  /** Refuses all new work from now on; what runs is finished. */
+  drain(nowMs: number): ExecutorEffect[] {
+    this.begin(nowMs, this.wallMs);
+    this.draining = true;
+    this.announce({...this.announcement, state: BackendState.LEAVING});
+    return this.effects;
+  }
+
+  handle(
+    input: ExecutorInput,
+    nowMs: number,
+    wallMs: number,
+  ): ExecutorEffect[] {
+    this.begin(nowMs, wallMs);
+    this.apply(input);
+    return this.effects;
+  }
+
+  private begin(nowMs: number, wallMs: number): void {
+    this.nowMs = nowMs;
+    this.wallMs = wallMs;
+    this.effects = [];
+  }
+
+  private apply(input: ExecutorInput): void {
+    switch (input.type) {
+      case 'dispatch':
+        return this.onDispatch(input);
+      case 'seal':
+        return this.onSeal(input);
+      case 'inquire':
+        return this.onInquire(input);
+      case 'cancel':
+        return this.onCancel(input);
+      case 'ack':
+        return this.onAck(input);
+      case 'gateUp':
+        return this.onGateUp(input.gate);
+      case 'announce':
+        return this.onAnnounce(input.announcement);
+      case 'ended':
+        return this.onEnded(input);
+      case 'tick':
+        return this.onTick();
+    }
+  }
+
+  private onDispatch(input: Extract<ExecutorInput, {type: 'dispatch'}>): void {
+    const known = this.records.get(input.run);
+    if (known && known.state !== RecordState.SEALED)
+      return this.rejoin(known, input);
+    if (known && input.attempt <= known.sealedAttempt)
+      return this.refuse(input, RefusalReason.SEALED);
+    const reason = this.reasonToRefuse(input);
+    if (reason) return this.sealAndRefuse(input, reason);
+    const record = this.addRecord(input.run, input.attempt);
+    record.state = RecordState.QUEUED;
+    record.gates.add(input.gate);
+    record.deadlineAtMs = this.nowMs + input.remainingMs;
+    this.deadlines.add(record.deadlineAtMs, record.run);
+    this.queue.push(record);
+    this.startNext();
+  }
+
+  /** A run that is already here is never started again. */
+  private rejoin(
+    record: RunRecord,
+    input: {readonly gate: string; readonly attempt: number},
+  ): void {
+    record.gates.add(input.gate);
+    record.attempt = Math.max(record.attempt, input.attempt);
+    if (record.state !== RecordState.ENDED) return;
+    this.effects.push({type: 'dropBody', run: record.run});
+    this.sendResult(record, input.gate);
+  }
+
+  private reasonToRefuse(
+    input: Extract<ExecutorInput, {type: 'dispatch'}>,
+  ): RefusalReason | undefined {
+    if (this.draining || this.announcement.state !== BackendState.SERVING)
+      return RefusalReason.LEAVING;
+    if (input.service !== this.announcement.service)
+      return RefusalReason.WRONG_SERVICE;
+    if (input.remainingMs <= 0) return RefusalReason.EXPIRED;
+    if (this.records.size >= this.options.maxRecords) return RefusalReason.FULL;
+    if (this.answerBytes >= this.options.maxAnswerBytes)
+      return RefusalReason.FULL;
+    const waitingAllowed = Math.ceil(this.announcement.slots / 2);
+    if (
+      this.busy + this.queue.length >=
+      this.announcement.slots + waitingAllowed
+    )
+      return RefusalReason.FULL;
+    return undefined;
+  }
+
+  private startNext(): void {
+    while (this.queue.length > 0 && this.busy < this.announcement.slots) {
+      const record = this.queue.shift()!;
+      record.state = RecordState.STARTED;
+      this.busy++;
+      this.effects.push({
+        type: 'call',
+        run: record.run,
+        remainingMs: Math.max(1, record.deadlineAtMs - this.nowMs),
+      });
+    }
+  }
+
+  private onEnded(input: Extract<ExecutorInput, {type: 'ended'}>): void {
+    const record = this.records.get(input.run);
+    if (record?.state !== RecordState.STARTED) return;
+    this.busy--;
+    this.effects.push({type: 'dropBody', run: record.run});
+    if (input.end === 'unreachable')
+      this.sealRecord(record, RefusalReason.UNREACHABLE);
+    else this.endRecord(record, input.end, input.answer);
+    this.startNext();
+  }
+
+  private endRecord(record: RunRecord, end: RunEnd, answer?: Answer): void {
+    record.state = RecordState.ENDED;
+    record.end = end;
+    record.answer = answer;
+    this.answerBytes += answer?.body.length ?? 0;
+    this.keep(record);
+    for (const gate of record.gates) this.sendResult(record, gate);
+  }
+
+  private sendResult(record: RunRecord, gate: string): void {
+    const dropped = record.end === RunEnd.ANSWERED && !record.answer;
+    this.effects.push({
+      type: 'result',
+      gate,
+      run: record.run,
+      attempt: record.attempt,
+      end: dropped ? RunEnd.DROPPED : record.end!,
+      answer: record.answer,
+    });
+  }
+
+  private onSeal(input: {
+    readonly gate: string;
+    readonly run: string;
+    readonly attempt: number;
+  }): void {
+    const record = this.records.get(input.run);
+    if (!record && this.isForgotten(input.run))
+      return this.trace(input, Trace.FORGOTTEN);
+    if (
+      record &&
+      record.state !== RecordState.SEALED &&
+      record.state !== RecordState.QUEUED
+    ) {
+      return this.traceStarted(record, input);
+    }
+    if (record?.state === RecordState.QUEUED) this.unqueue(record);
+    this.remember(input.run, input.attempt);
+    this.trace(input, Trace.SEALED);
+  }
+
+  private onInquire(input: {
+    readonly gate: string;
+    readonly run: string;
+    readonly attempt: number;
+  }): void {
+    const record = this.records.get(input.run);
+    if (!record)
+      return this.trace(
+        input,
+        this.isForgotten(input.run) ? Trace.FORGOTTEN : Trace.UNSEEN,
+      );
+    if (record.state !== RecordState.SEALED)
+      return this.traceStarted(record, input);
+    this.trace(
+      input,
+      input.attempt <= record.sealedAttempt ? Trace.SEALED : Trace.UNSEEN,
+    );
+  }
+
+  private onCancel(input: {
+    readonly gate: string;
+    readonly run: string;
+    readonly attempt: number;
+  }): void {
+    const record = this.records.get(input.run);
+    if (!record && this.isForgotten(input.run))
+      return this.trace(input, Trace.FORGOTTEN);
+    if (record?.state === RecordState.STARTED) {
+      record.gates.add(input.gate);
+      this.effects.push({type: 'abort', run: record.run});
+      return;
+    }
+    if (record?.state === RecordState.ENDED)
+      return this.traceStarted(record, input);
+    if (record?.state === RecordState.QUEUED) this.unqueue(record);
+    this.sealAndRefuse(input, RefusalReason.CANCELLED);
+  }
+
+  private traceStarted(
+    record: RunRecord,
+    input: {
+      readonly gate: string;
+      readonly run: string;
+      readonly attempt: number;
+    },
+  ): void {
+    this.trace(input, Trace.STARTED);
+    this.rejoin(record, input);
+  }
+
+  private onAck(input: {readonly gate: string; readonly run: string}): void {
+    const record = this.records.get(input.run);
+    record?.gates.delete(input.gate);
+    if (record?.answer && this.answerBytes > this.options.maxAnswerBytes / 2)
+      this.dropAnswer(record);
+  }
+
+  /** Sends a gate that came back the ends that it has not acknowledged. */
+  private onGateUp(gate: string): void {
+    for (const record of this.records.values()) {
+      if (record.state === RecordState.ENDED && record.gates.has(gate))
+        this.sendResult(record, gate);
+    }
+  }
+
+  // Announcements.
+
+  private onAnnounce(announcement: Announcement): void {
+    this.announcedAtMs = this.nowMs;
+    const state = this.draining ? BackendState.LEAVING : announcement.state;
+    this.announce({...announcement, state});
+  }
+
+  private announce(next: Announcement): void {
+    const before = this.announcement;
+    this.announcement = next;
+    if (next.state !== BackendState.SERVING) this.refuseWaiting();
+    const same =
+      before.state === next.state &&
+      before.slots === next.slots &&
+      before.service === next.service;
+    if (!same) this.effects.push({type: 'announce', announcement: next});
+    this.startNext();
+  }
+
+  private refuseWaiting(): void {
+    for (const record of this.queue.splice(0))
+      this.sealRecord(record, RefusalReason.LEAVING);
+  }
+
+  // Time.
+
+  private onTick(): void {
+    const silentMs = this.nowMs - this.announcedAtMs;
+    const present = this.announcement.state !== BackendState.ABSENT;
+    if (
+      present &&
+      silentMs > MISSED_ANNOUNCEMENTS * this.options.announcementMs
+    ) {
+      this.announce({...this.announcement, state: BackendState.ABSENT});
+    }
+    for (const run of this.deadlines.takeDue(this.nowMs)) this.onDeadline(run);
+    for (const run of this.expiries.takeDue(this.nowMs)) this.expire(run);
+  }
+
+  private onDeadline(run: string): void {
+    const record = this.records.get(run);
+    if (!record) return;
+    if (record.state === RecordState.QUEUED) {
+      this.unqueue(record);
+      this.sealRecord(record, RefusalReason.EXPIRED);
+    } else if (record.state === RecordState.STARTED) {
+      this.onOverdue(record);
+    }
+  }
+
+  private onOverdue(record: RunRecord): void {
+    const giveUpAtMs = record.deadlineAtMs + HANG_GRACE_MS;
+    if (this.nowMs < giveUpAtMs) this.deadlines.add(giveUpAtMs, record.run);
+    else this.effects.push({type: 'abort', run: record.run});
+  }
+
+  private expire(run: string): void {
+    const record = this.records.get(run);
+    if (!record) return;
+    if (
+      record.state === RecordState.STARTED ||
+      record.state === RecordState.QUEUED
+    )
+      return;
+    if (record.keepUntilMs > this.nowMs) return;
+    this.dropAnswer(record);
+    this.records.delete(run);
+  }
+
+  private keep(record: RunRecord): void {
+    record.keepUntilMs = this.nowMs + RETENTION_MS;
+    this.expiries.add(record.keepUntilMs, record.run);
+  }
+
+  // Records.
+
+  private sealAndRefuse(
+    input: {
+      readonly gate: string;
+      readonly run: string;
+      readonly attempt: number;
+    },
+    reason: RefusalReason,
+  ): void {
+    this.remember(input.run, input.attempt);
+    this.refuse(input, reason);
+  }
+
+  private refuse(
+    input: {
+      readonly gate: string;
+      readonly run: string;
+      readonly attempt: number;
+    },
+    reason: RefusalReason,
+  ): void {
+    this.effects.push({type: 'dropBody', run: input.run});
+    this.effects.push({
+      type: 'refused',
+      gate: input.gate,
+      run: input.run,
+      attempt: input.attempt,
+      reason,
+    });
+  }
+
+  /** Seals a queued or unsent run and tells all gates that wait for it. */
+  private sealRecord(record: RunRecord, reason: RefusalReason): void {
+    const {attempt, run} = record;
+    const gates = [...record.gates];
+    this.remember(run, attempt);
+    for (const gate of gates) this.refuse({gate, run, attempt}, reason);
+  }
+
+  private remember(run: string, attempt: number): void {
+    const record = this.addRecord(run, attempt);
+    record.state = RecordState.SEALED;
+    record.sealedAttempt = Math.max(record.sealedAttempt, attempt);
+    record.gates.clear();
+    this.keep(record);
+  }
+
+  private addRecord(run: string, attempt: number): RunRecord {
+    const known = this.records.get(run);
+    if (known) {
+      known.attempt = Math.max(known.attempt, attempt);
+      return known;
+    }
+    const record: RunRecord = {
+      run,
+      state: RecordState.SEALED,
+      attempt,
+      sealedAttempt: 0,
+      deadlineAtMs: 0,
+      keepUntilMs: 0,
+      gates: new Set(),
+    };
+    this.records.set(run, record);
+    return record;
+  }
+
+  private unqueue(record: RunRecord): void {
+    const at = this.queue.indexOf(record);
+    if (at >= 0) this.queue.splice(at, 1);
+  }
+
+  private dropAnswer(record: RunRecord): void {
+    this.answerBytes -= record.answer?.body.length ?? 0;
+    record.answer = undefined;
+  }
+
+  private trace(
+    input: {
+      readonly gate: string;
+      readonly run: string;
+      readonly attempt: number;
+    },
+    trace: Trace,
+  ): void {
+    this.effects.push({
+      type: 'trace',
+      gate: input.gate,
+      run: input.run,
+      attempt: input.attempt,
+      trace,
+    });
+  }
+
+  private isForgotten(run: string): boolean {
+    const parts = parseRequestId(run);
+    return !parts || this.wallMs - parts.acceptedWallMs > FORGOTTEN_AGE_MS;
+  }
+}
--- /dev/null
+++ b/src/core/request_router.ts
@@ -0,0 +1,771 @@
+/**
+ * Routes plain requests to backend servers and decides what their callers are
+ * told. A request that is not idempotent is sent again only after the agent that
+ * had it promised that it never started. A request with an idempotency key is
+ * bound to one run by a claim row.
+ */
+import {AgentDirectory, type AgentView} from './agent_directory.js';
+import {FairQueue, getOrAdd} from './fair_queue.js';
+import {type ProcessRef} from './ids.js';
+import {Outcome, type Settlement} from './outcome.js';
+import {Random} from './random.js';
+import {
+  type ClaimReply,
+  type ClaimRow,
+  ClaimState,
+  type RouterEffect,
+  type RouterInput,
+  type SubmitInput,
+} from './request_messages.js';
+import {
+  type GiveUp,
+  Phase,
+  type RequestState,
+  newRequestState,
+  notRun,
+  unknown,
+} from './request_state.js';
+import {TimerHeap} from './timer_heap.js';
+import {RetryBudget} from './token_bucket.js';
+import {RefusalReason, RunEnd, Trace} from './vocabulary.js';
+
+const MAX_RESENDS = 8;
+const RETRY_RESERVE = 10;
+/** Time after its deadline in which an agent may still say how a request stands. */
+const DEADLINE_GRACE_MS = 500;
+/** Wait before an attempt that its agent has not seen is sealed. */
+const UNSEEN_GRACE_MS = 300;
+/** How long a late answer may still replace an unknown outcome. */
+const LATE_ANSWER_MS = 10 * 60_000;
+/** Weight of the newest service time in the running mean. */
+const SERVICE_TIME_WEIGHT = 0.1;
+
+const TimerKind = {
+  DEADLINE: 'deadline',
+  GRACE: 'grace',
+  UNSEEN: 'unseen',
+  FORGET: 'forget',
+} as const;
+type TimerKind = (typeof TimerKind)[keyof typeof TimerKind];
+interface Timer {
+  readonly kind: TimerKind;
+  readonly req: string;
+}
+
+export interface RouterOptions {
+  readonly dataCentre: string;
+  /** Longest queue of one service. */
+  readonly queuePerService: number;
+  /** Retries allowed per first attempt. */
+  readonly retryRatio: number;
+  readonly seed: number;
+}
+
+interface ServiceState {
+  readonly queue: FairQueue<RequestState>;
+  readonly budget: RetryBudget;
+  /** Requests in flight by workspace. */
+  readonly inUse: Map<string, number>;
+  meanServiceMs: number;
+}
+
+export class RequestRouter {
+  readonly directory: AgentDirectory;
+  private readonly requests = new Map<string, RequestState>();
+  private readonly byRun = new Map<string, RequestState>();
+  private readonly byAgent = new Map<string, Set<RequestState>>();
+  private readonly leaders = new Map<string, RequestState>();
+  private readonly services = new Map<string, ServiceState>();
+  private readonly timers = new TimerHeap<Timer>();
+  private effects: RouterEffect[] = [];
+  private nowMs = 0;
+
+  constructor(private readonly options: RouterOptions) {
+    this.directory = new AgentDirectory(
+      options.dataCentre,
+      new Random(options.seed),
+    );
+  }
+
+  /** Requests that have not been settled. */
+  get pendingCount(): number {
+    let count = 0;
+    for (const state of this.requests.values()) {
+      if (state.phase !== Phase.SETTLED) count++;
+    }
+    return count;
+  }
+
+  /** Requests that wait for a slot, by service. */
+  queueLengths(): {service: string; length: number}[] {
+    return [...this.services].map(([service, s]) => ({
+      service,
+      length: s.queue.size,
+    }));
+  }
+
+  handle(input: RouterInput, nowMs: number): RouterEffect[] {
+    this.nowMs = nowMs;
+    this.effects = [];
+    this.apply(input);
+    return this.effects;
+  }
+
+  private apply(input: RouterInput): void {
+    switch (input.type) {
+      case 'submit':
+        return this.onSubmit(input);
+      case 'cancel':
+        return this.onCancel(input.req);
+      case 'agentUp':
+        return this.onAgentUp(input);
+      case 'agentDown':
+        return this.onAgentDown(input.agent);
+      case 'announce':
+        this.directory.announce(input.agent, input.announcement);
+        this.directory.reportLoad(input.agent, input.load);
+        return this.pump(input.announcement.service);
+      case 'load':
+        return this.onLoad(input);
+      case 'result':
+        return this.onResult(input);
+      case 'refused':
+        return this.onRefused(input);
+      case 'trace':
+        return this.onTrace(input);
+      case 'claimReply':
+        return this.onClaimReply(input.req, input.reply);
+      case 'tick':
+        return this.onTick();
+    }
+  }
+
+  // Submission and choice of an agent.
+
+  private onSubmit(input: SubmitInput): void {
+    const state = newRequestState(input, this.nowMs);
+    this.requests.set(state.req, state);
+    if (state.claim && this.joinLeader(state)) return;
+    this.byRun.set(state.run, state);
+    if (state.claim) this.leaders.set(state.claim.key, state);
+    this.timers.add(state.deadlineAtMs, {
+      kind: TimerKind.DEADLINE,
+      req: state.req,
+    });
+    const service = this.service(state.service);
+    service.budget.deposit();
+    const shedReason = this.reasonToShed(state, service);
+    if (shedReason)
+      return this.abandon(state, {reason: shedReason, permanent: false});
+    this.place(state);
+  }
+
+  /** Joins a request to an unfinished one of this gate with the same key. */
+  private joinLeader(state: RequestState): boolean {
+    const leader = this.leaders.get(state.claim!.key);
+    if (!leader || leader.phase === Phase.SETTLED) return false;
+    if (leader.claim!.hash !== state.claim!.hash) {
+      this.settle(state, keyReused());
+      return true;
+    }
+    state.phase = Phase.JOINED;
+    state.run = leader.req;
+    leader.joined.push(state.req);
+    return true;
+  }
+
+  private reasonToShed(
+    state: RequestState,
+    service: ServiceState,
+  ): string | undefined {
+    const waiting = service.queue.size;
+    if (waiting >= this.options.queuePerService) {
+      return `the queue of service "${state.service}" is full with ${waiting} requests; send it again later`;
+    }
+    const slots = this.directory.slotsOf(state.service);
+    if (slots === 0 || waiting === 0) return undefined;
+    const waitMs = (waiting * service.meanServiceMs) / slots;
+    if (waitMs <= state.deadlineAtMs - this.nowMs) return undefined;
+    return `the expected wait of ${Math.round(waitMs)} ms is longer than the deadline; send it again later`;
+  }
+
+  private place(state: RequestState, excluded?: string): void {
+    const service = this.service(state.service);
+    if (state.resends > MAX_RESENDS) {
+      return this.abandon(state, {
+        reason: `${state.resends} backend servers refused it; send it again later`,
+        permanent: false,
+      });
+    }
+    const view =
+      service.queue.size === 0
+        ? this.directory.choose(state.service, this.nowMs, excluded)
+        : undefined;
+    if (view) return this.assign(state, view);
+    state.phase = Phase.QUEUED;
+    state.agent = undefined;
+    service.queue.push(state);
+    this.pump(state.service);
+  }
+
+  /** Gives free slots to waiting requests. */
+  private pump(serviceName: string): void {
+    const service = this.service(serviceName);
+    while (service.queue.size > 0) {
+      const view = this.directory.choose(serviceName, this.nowMs);
+      if (!view) return;
+      const state = service.queue.take(w => service.inUse.get(w) ?? 0);
+      this.assign(state!, view);
+    }
+  }
+
+  private assign(state: RequestState, view: AgentView): void {
+    state.attempt++;
+    this.attach(state, view.ref);
+    this.directory.noteSent(view);
+    state.inFlight = true;
+    this.countInUse(state, 1);
+    if (state.claim)
+      return this.writeClaim(state, Phase.CLAIMING, ClaimState.OPEN);
+    this.dispatch(state);
+  }
+
+  private dispatch(state: RequestState): void {
+    state.phase = Phase.DISPATCHED;
+    state.sentAtMs = this.nowMs;
+    this.effects.push({
+      type: 'dispatch',
+      agent: state.agent!,
+      req: state.req,
+      run: state.run,
+      attempt: state.attempt,
+      remainingMs: Math.max(1, state.deadlineAtMs - this.nowMs),
+    });
+  }
+
+  // Answers of agents.
+
+  private onResult(input: Extract<RouterInput, {type: 'result'}>): void {
+    this.effects.push({type: 'ack', agent: input.agent, run: input.run});
+    const state = this.byRun.get(input.run);
+    if (state) {
+      this.noteRunEnd(state, input.agent, input.end);
+      this.endRun(state, input);
+    }
+    this.onLoad(input);
+  }
+
+  private noteRunEnd(
+    state: RequestState,
+    agent: ProcessRef,
+    end: RunEnd,
+  ): void {
+    if (state.inFlight && sameProcess(state.agent, agent)) {
+      const service = this.service(state.service);
+      const tookMs = this.nowMs - state.sentAtMs;
+      service.meanServiceMs +=
+        SERVICE_TIME_WEIGHT * (tookMs - service.meanServiceMs);
+    }
+    if (end === RunEnd.BROKEN) this.directory.noteFailure(agent, this.nowMs);
+    else this.directory.noteSuccess(agent);
+    if (sameProcess(state.agent, agent)) this.release(state);
+  }
+
+  private endRun(
+    state: RequestState,
+    input: Extract<RouterInput, {type: 'result'}>,
+  ): void {
+    if (state.phase === Phase.SETTLED && input.end !== RunEnd.ANSWERED) return;
+    switch (input.end) {
+      case RunEnd.ANSWERED:
+        return this.finish(state, {
+          outcome: Outcome.DONE,
+          answer: input.answer,
+        });
+      case RunEnd.CANCELLED:
+        return this.finish(state, {
+          outcome: Outcome.CANCELLED,
+          reason: 'it had started and was stopped',
+        });
+      case RunEnd.TOO_LARGE:
+        return this.finish(state, {
+          outcome: Outcome.FAILED,
+          reason:
+            'it ran, but its answer is larger than limits.answerBytes; raise the limit or ask for less',
+        });
+      case RunEnd.DROPPED:
+        return this.finish(
+          state,
+          unknown('it ran, but its answer is no longer held'),
+        );
+      case RunEnd.BROKEN:
+        return this.onBroken(state, input.agent);
+    }
+  }
+
+  private onBroken(state: RequestState, agent: ProcessRef): void {
+    if (this.mayRetry(state)) return this.resend(state, agent.id);
+    this.finish(
+      state,
+      unknown(
+        'the connection to the backend server broke while the request ran',
+      ),
+    );
+  }
+
+  private mayRetry(state: RequestState): boolean {
+    if (!state.idempotent || state.giveUp) return false;
+    if (state.deadlineAtMs <= this.nowMs || state.resends >= MAX_RESENDS)
+      return false;
+    return this.service(state.service).budget.tryWithdraw();
+  }
+
+  private resend(state: RequestState, excluded?: string): void {
+    this.release(state);
+    state.resends++;
+    this.place(state, excluded);
+  }
+
+  private onRefused(input: Extract<RouterInput, {type: 'refused'}>): void {
+    this.directory.reportLoad(input.agent, input.load);
+    if (input.reason === RefusalReason.UNREACHABLE) {
+      this.directory.noteFailure(input.agent, this.nowMs);
+    }
+    const state = this.byRun.get(input.run);
+    if (state && isAwaiting(state, input.agent, input.attempt)) {
+      this.release(state);
+      this.onNeverStarted(state, input.reason, input.agent);
+    }
+    this.onLoad(input);
+  }
+
+  /** The agent promised that this attempt never started and never will. */
+  private onNeverStarted(
+    state: RequestState,
+    reason: RefusalReason,
+    agent: ProcessRef,
+  ): void {
+    if (reason === RefusalReason.CANCELLED) state.giveUp ??= cancelled();
+    if (reason === RefusalReason.EXPIRED) state.giveUp ??= expired();
+    if (state.giveUp) return this.abandon(state, state.giveUp);
+    this.resend(state, agent.id);
+  }
+
+  private onTrace(input: Extract<RouterInput, {type: 'trace'}>): void {
+    const state = this.byRun.get(input.run);
+    if (!state || !isAwaiting(state, input.agent, input.attempt)) return;
+    switch (input.trace) {
+      case Trace.STARTED:
+        return;
+      case Trace.SEALED:
+        this.release(state);
+        return this.onNeverStarted(state, RefusalReason.SEALED, input.agent);
+      case Trace.FORGOTTEN:
+        return this.endUnknown(state, 'its agent no longer remembers it');
+      case Trace.UNSEEN:
+        return this.onUnseen(state);
+    }
+  }
+
+  private onUnseen(state: RequestState): void {
+    state.unseenReplies++;
+    this.timers.add(this.nowMs + UNSEEN_GRACE_MS, {
+      kind: TimerKind.UNSEEN,
+      req: state.req,
+    });
+  }
+
+  private onLoad(input: {
+    readonly agent: ProcessRef;
+    readonly load: {busy: number; queued: number};
+  }): void {
+    this.directory.reportLoad(input.agent, input.load);
+    const view = this.directory.find(input.agent);
+    if (view) this.pump(view.announcement.service);
+  }
+
+  // Agents that come and go.
+
+  private onAgentUp(input: Extract<RouterInput, {type: 'agentUp'}>): void {
+    this.directory.add(
+      input.agent,
+      input.place,
+      input.accelerators,
+      input.announcement,
+      input.load,
+    );
+    for (const state of this.requestsAt(input.agent.id)) {
+      if (state.inFlight)
+        this.directory.noteSent(this.directory.find(input.agent)!);
+      this.askAgain(state);
+    }
+    this.pump(input.announcement.service);
+  }
+
+  /** Asks a reconnected agent how a request stands. */
+  private askAgain(state: RequestState): void {
+    if (state.phase === Phase.FOLLOWING) return this.inquire(state);
+    if (state.phase !== Phase.DISPATCHED) return;
+    const view = this.directory.get(state.agent!.id);
+    if (!view || !sameProcess(view.ref, state.agent)) {
+      return this.onIncarnationLost(state);
+    }
+    this.ask(state, state.giveUp ? 'cancel' : 'seal');
+  }
+
+  private onIncarnationLost(state: RequestState): void {
+    if (this.mayRetry(state)) return this.resend(state);
+    this.endUnknown(state, 'the agent that had it was restarted');
+  }
+
+  private onAgentDown(agent: ProcessRef): void {
+    if (!this.directory.find(agent)) return;
+    this.directory.remove(agent.id);
+    for (const state of this.requestsAt(agent.id)) {
+      if (state.phase === Phase.DISPATCHED && this.mayRetry(state))
+        this.resend(state, agent.id);
+    }
+  }
+
+  private requestsAt(agentId: string): RequestState[] {
+    return [...(this.byAgent.get(agentId) ?? [])];
+  }
+
+  // Cancellation and deadlines.
+
+  private onCancel(req: string): void {
+    const state = this.leaderOf(req);
+    if (!state || state.phase === Phase.SETTLED || state.giveUp) return;
+    state.giveUp = cancelled();
+    switch (state.phase) {
+      case Phase.QUEUED:
+        return this.abandon(state, state.giveUp);
+      case Phase.DISPATCHED:
+      case Phase.FOLLOWING:
+        return this.ask(state, 'cancel');
+      default:
+        return;
+    }
+  }
+
+  private leaderOf(req: string): RequestState | undefined {
+    const state = this.requests.get(req);
+    return state?.phase === Phase.JOINED ? this.requests.get(state.run) : state;
+  }
+
+  private onTick(): void {
+    for (const timer of this.timers.takeDue(this.nowMs)) this.onTimer(timer);
+    for (const [name, service] of this.services) {
+      if (service.queue.size > 0) this.pump(name);
+    }
+  }
+
+  private onTimer(timer: Timer): void {
+    const state = this.requests.get(timer.req);
+    if (!state) return;
+    if (timer.kind === TimerKind.FORGET) return this.forget(state);
+    if (state.phase === Phase.SETTLED) return;
+    if (timer.kind === TimerKind.DEADLINE) return this.onDeadline(state);
+    if (timer.kind === TimerKind.UNSEEN) return this.afterUnseen(state);
+    this.onGraceOver(state);
+  }
+
+  private onDeadline(state: RequestState): void {
+    state.giveUp ??= expired();
+    if (state.phase === Phase.QUEUED) return this.abandon(state, state.giveUp);
+    if (state.phase === Phase.DISPATCHED || state.phase === Phase.FOLLOWING)
+      this.ask(state, 'seal');
+    this.timers.add(this.nowMs + DEADLINE_GRACE_MS, {
+      kind: TimerKind.GRACE,
+      req: state.req,
+    });
+  }
+
+  private onGraceOver(state: RequestState): void {
+    this.settle(
+      state,
+      unknown(
+        'its deadline passed and it may have run; ask for its result later, or send it again with the same key',
+      ),
+    );
+  }
+
+  private afterUnseen(state: RequestState): void {
+    if (state.phase !== Phase.FOLLOWING) return;
+    this.ask(state, 'seal');
+  }
+
+  // Claim rows.
+
+  private writeClaim(
+    state: RequestState,
+    phase: Phase,
+    claimState: ClaimState,
+    settlement?: Settlement,
+  ): void {
+    state.phase = phase;
+    this.effects.push({
+      type: 'claim',
+      req: state.req,
+      write: {
+        key: state.claim!.key,
+        expectVersion: state.claimVersion,
+        row: claimRow(state, claimState, settlement),
+      },
+    });
+  }
+
+  private onClaimReply(req: string, reply: ClaimReply): void {
+    const state = this.requests.get(req);
+    if (!state || state.phase === Phase.SETTLED) return;
+    if (reply.type === 'unavailable') return this.onClaimUnavailable(state);
+    if (reply.type === 'conflict')
+      return this.onForeignRow(state, reply.version, reply.row);
+    state.claimVersion = reply.version;
+    switch (state.phase) {
+      case Phase.CLAIMING:
+        return this.onClaimed(state);
+      case Phase.CLOSING:
+        return this.settle(
+          state,
+          notRun(state.giveUp!.reason, state.giveUp!.permanent),
+        );
+      case Phase.ENDING:
+        return this.settle(
+          state,
+          unknown('the agent that had it was restarted'),
+        );
+      default:
+        return;
+    }
+  }
+
+  private onClaimed(state: RequestState): void {
+    if (state.giveUp) {
+      this.release(state);
+      return this.abandon(state, state.giveUp);
+    }
+    if (this.directory.find(state.agent!)) return this.dispatch(state);
+    this.resend(state);
+  }
+
+  private onClaimUnavailable(state: RequestState): void {
+    this.release(state);
+    this.settle(
+      state,
+      unknown(
+        'the table service is unavailable, so it was not sent; send it again with the same key',
+      ),
+    );
+  }
+
+  /** Another send has written the claim row. */
+  private onForeignRow(
+    state: RequestState,
+    version: number,
+    row?: ClaimRow,
+  ): void {
+    this.release(state);
+    state.claimVersion = version;
+    if (!row) return this.proceed(state);
+    if (row.hash !== state.claim!.hash) return this.settle(state, keyReused());
+    switch (row.state) {
+      case ClaimState.ENDED:
+        return this.settle(state, row.settlement!);
+      case ClaimState.CLOSED:
+        state.attempt = row.attempt;
+        return this.proceed(state);
+      case ClaimState.OPEN:
+        return this.follow(state, row);
+    }
+  }
+
+  /** No attempt runs: starts one, or closes the row when it is not wanted. */
+  private proceed(state: RequestState): void {
+    if (state.giveUp) return this.abandon(state, state.giveUp);
+    state.resends++;
+    this.place(state);
+  }
+
+  private adoptRun(state: RequestState, row: ClaimRow): void {
+    if (this.byRun.get(state.run) === state) this.byRun.delete(state.run);
+    state.run = row.run;
+    state.attempt = row.attempt;
+    this.byRun.set(state.run, state);
+  }
+
+  private follow(state: RequestState, row: ClaimRow): void {
+    this.adoptRun(state, row);
+    state.phase = Phase.FOLLOWING;
+    this.attach(state, row.agent!);
+    this.inquire(state);
+  }
+
+  private inquire(state: RequestState): void {
+    const view = this.directory.get(state.agent!.id);
+    if (view && !sameProcess(view.ref, state.agent))
+      return this.onIncarnationLost(state);
+    this.ask(state, state.giveUp ? 'seal' : 'inquire');
+  }
+
+  private endUnknown(state: RequestState, reason: string): void {
+    this.release(state);
+    if (!state.claim) return this.settle(state, unknown(reason));
+    this.writeClaim(state, Phase.ENDING, ClaimState.ENDED, unknown(reason));
+  }
+
+  /** Ends a request that never started and is no longer wanted. */
+  private abandon(state: RequestState, giveUp: GiveUp): void {
+    state.giveUp = giveUp;
+    this.service(state.service).queue.remove(state);
+    if (!state.claim)
+      return this.settle(state, notRun(giveUp.reason, giveUp.permanent));
+    this.writeClaim(state, Phase.CLOSING, ClaimState.CLOSED);
+  }
+
+  // Ends.
+
+  private finish(state: RequestState, settlement: Settlement): void {
+    this.release(state);
+    if (state.claim) this.recordEnd(state, settlement);
+    this.settle(state, settlement);
+  }
+
+  private recordEnd(state: RequestState, settlement: Settlement): void {
+    const row = claimRow(state, ClaimState.ENDED, settlement);
+    this.effects.push({
+      type: 'recordEnd',
+      write: {key: state.claim!.key, expectVersion: state.claimVersion, row},
+    });
+  }
+
+  private settle(state: RequestState, settlement: Settlement): void {
+    this.release(state);
+    this.service(state.service).queue.remove(state);
+    this.detach(state);
+    state.phase = Phase.SETTLED;
+    this.effects.push({type: 'settle', req: state.req, settlement});
+    for (const req of state.joined.splice(0)) {
+      const joined = this.requests.get(req);
+      if (joined) this.settle(joined, settlement);
+    }
+    if (state.claim && this.leaders.get(state.claim.key) === state)
+      this.leaders.delete(state.claim.key);
+    if (settlement.outcome !== Outcome.UNKNOWN) return this.forget(state);
+    this.timers.add(this.nowMs + LATE_ANSWER_MS, {
+      kind: TimerKind.FORGET,
+      req: state.req,
+    });
+  }
+
+  private forget(state: RequestState): void {
+    this.requests.delete(state.req);
+    if (this.byRun.get(state.run) === state) this.byRun.delete(state.run);
+  }
+
+  // Bookkeeping.
+
+  private ask(state: RequestState, ask: 'seal' | 'inquire' | 'cancel'): void {
+    if (!state.agent || !this.directory.find(state.agent)) return;
+    this.effects.push({
+      type: 'ask',
+      ask,
+      agent: state.agent,
+      run: state.run,
+      attempt: state.attempt,
+    });
+  }
+
+  private attach(state: RequestState, agent: ProcessRef): void {
+    this.detach(state);
+    state.agent = agent;
+    getOrAdd(this.byAgent, agent.id, () => new Set<RequestState>()).add(state);
+  }
+
+  private detach(state: RequestState): void {
+    if (!state.agent) return;
+    const set = this.byAgent.get(state.agent.id);
+    set?.delete(state);
+    if (set?.size === 0) this.byAgent.delete(state.agent.id);
+  }
+
+  private release(state: RequestState): void {
+    if (!state.inFlight) return;
+    state.inFlight = false;
+    this.directory.noteEnded(state.agent!);
+    this.countInUse(state, -1);
+  }
+
+  private countInUse(state: RequestState, change: number): void {
+    const {inUse} = this.service(state.service);
+    const count = (inUse.get(state.workspace) ?? 0) + change;
+    if (count > 0) inUse.set(state.workspace, count);
+    else inUse.delete(state.workspace);
+  }
+
+  private service(name: string): ServiceState {
+    return getOrAdd(this.services, name, () => ({
+      queue: new FairQueue<RequestState>(),
+      budget: new RetryBudget(this.options.retryRatio, RETRY_RESERVE),
+      inUse: new Map<string, number>(),
+      meanServiceMs: 0,
+    }));
+  }
+}
+
+function claimRow(
+  state: RequestState,
+  claimState: ClaimState,
+  settlement?: Settlement,
+): ClaimRow {
+  return {
+    state: claimState,
+    hash: state.claim!.hash,
+    run: state.run,
+    attempt: state.attempt,
+    agent: state.agent,
+    settlement,
+  };
+}
+
+/** True when the request still waits for exactly this attempt at this agent. */
+function isAwaiting(
+  state: RequestState,
+  agent: ProcessRef,
+  attempt: number,
+): boolean {
+  if (state.phase !== Phase.DISPATCHED && state.phase !== Phase.FOLLOWING)
+    return false;
+  return state.attempt === attempt && sameProcess(state.agent, agent);
+}
+
+function sameProcess(
+  a: ProcessRef | undefined,
+  b: ProcessRef | undefined,
+): boolean {
+  return (
+    a !== undefined &&
+    b !== undefined &&
+    a.id === b.id &&
+    a.incarnation === b.incarnation
+  );
+}
+
+function cancelled(): GiveUp {
+  return {reason: 'it was cancelled before it started', permanent: false};
+}
+
+function expired(): GiveUp {
+  return {
+    reason:
+      'its deadline passed before it started; send it again with a longer deadline',
+    permanent: false,
+  };
+}
+
+function keyReused(): Settlement {
+  return notRun(
+    'the idempotency key was used before with another payload; use a new key',
+    true,
+  );
+}
--- /dev/null
+++ b/src/daemons/agent_daemon.ts
@@ -0,0 +1,127 @@
+/** The agent: one small process beside each backend server. */
+import {type AddressInfo} from 'node:net';
+import {fastify, type FastifyInstance} from 'fastify';
+import {z} from 'zod';
+import {type Kernel} from '../core/kernel.js';
+import {BackendState} from '../core/vocabulary.js';
+import {checkValue, requireValid} from '../protocol/check.js';
+import {type AgentSettings} from '../protocol/settings.js';
+import {AgentConfigTask} from './agent_config_task.js';
+import {AgentLinks, type AgentSend} from './agent_links.js';
+import {type Daemon, type DaemonAddresses} from './daemon.js';
+import {ExecutorTask} from './executor_task.js';
+import {GangTask} from './gang_task.js';
+import {reportErrors} from './http_errors.js';
+import {type ProcessContext, makeProcessContext} from './process_context.js';
+import {TimelineTask} from './timeline_task.js';
+
+const TICK_MS = 100;
+const DRAIN_CHECK_MS = 50;
+
+const announcementSchema = z.strictObject({
+  service: z.string().min(1).max(63),
+  address: z
+    .string()
+    .regex(/^http:\/\/[0-9.:]+$/, 'an address such as "http://127.0.0.1:8000"'),
+  slots: z.number().int().min(0).max(10_000),
+  state: z.enum([BackendState.SERVING, BackendState.LEAVING]),
+});
+
+export class AgentDaemon implements Daemon {
+  private readonly ctx: ProcessContext;
+  private readonly links: AgentLinks;
+  private readonly config: AgentConfigTask;
+  private readonly executor: ExecutorTask;
+  private readonly gangs: GangTask;
+  private readonly http: FastifyInstance = fastify();
+  private ticker: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly settings: AgentSettings,
+    kernel: Kernel,
+  ) {
+    this.ctx = makeProcessContext(settings);
+    const send = {post: (message: AgentSend) => this.links.post(message)};
+    this.config = new AgentConfigTask(this.ctx, send);
+    this.executor = new ExecutorTask(this.ctx, kernel, settings, send);
+    this.gangs = new GangTask(this.ctx, kernel, settings, send);
+    this.links = new AgentLinks(this.ctx, settings, {
+      versions: () => this.config.follower.versions,
+      announcement: () => this.executor.executor.currentAnnouncement,
+      load: () => this.executor.executor.load,
+    });
+    const timeline = new TimelineTask(this.ctx, send);
+    for (const task of [this.config, this.executor, this.gangs, timeline])
+      this.links.subscribe(task);
+  }
+
+  async start(): Promise<DaemonAddresses> {
+    reportErrors(this.http);
+    this.http.put('/v1/announcement', async (req, res) => {
+      this.onAnnouncement(req.body);
+      return res.code(204).send();
+    });
+    this.http.get('/healthz', async () => ({ok: true}));
+    this.http.get('/metrics', async (req, res) =>
+      res.type('text/plain').send(this.formatMetrics()),
+    );
+    await this.http.listen({
+      host: '127.0.0.1',
+      port: this.settings.announcePort,
+    });
+    await this.gangs.clearWorker();
+    this.ticker = setInterval(() => this.tick(), TICK_MS);
+    const {port} = this.http.server.address() as AddressInfo;
+    this.ctx.logs
+      .of('agent')
+      .info(`Listening for announcements on port ${port}.`);
+    return {http: `http://127.0.0.1:${port}`};
+  }
+
+  /** Refuses new work, finishes what runs, then closes. */
+  async stop(): Promise<void> {
+    this.executor.post({type: 'drain'});
+    this.gangs.post({type: 'drain'});
+    this.ctx.timeline.add('agent', 'graceful stop');
+    const giveUpMs = this.ctx.clock.nowMs() + this.settings.times.stopGraceMs;
+    while (!this.isIdle() && this.ctx.clock.nowMs() < giveUpMs)
+      await sleep(DRAIN_CHECK_MS);
+    // Lets the last answers leave before the links are closed.
+    await sleep(DRAIN_CHECK_MS);
+    clearInterval(this.ticker);
+    this.links.close();
+    await this.executor.close();
+    await this.gangs.close();
+    await this.http.close();
+  }
+
+  private isIdle(): boolean {
+    return this.executor.executor.isIdle && !this.gangs.holder.hasRunning;
+  }
+
+  private tick(): void {
+    // Links first: a process that was paused must not act on what waited in its sockets.
+    this.links.tick();
+    this.config.post({type: 'tick'});
+    this.executor.post({type: 'tick'});
+    this.gangs.post({type: 'tick'});
+  }
+
+  private onAnnouncement(body: unknown): void {
+    const {address, ...announcement} = requireValid(
+      checkValue(body, announcementSchema),
+      'the announcement',
+    );
+    this.executor.post({type: 'announce', announcement, address});
+  }
+
+  private formatMetrics(): string {
+    return `${this.ctx.metrics.format()}lagoonshunt_link_bytes_sent ${this.links.bytesSent()}\n`;
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/src/daemons/caller_api.ts
@@ -0,0 +1,198 @@
+/** HTTP for callers: submit a request, ask for its end, cancel it. */
+import {createHash} from 'node:crypto';
+import {
+  type FastifyInstance,
+  type FastifyReply,
+  type FastifyRequest,
+} from 'fastify';
+import {
+  BadRequestError,
+  NotFoundError,
+  UnauthorizedError,
+} from '../core/errors.js';
+import {Outcome, type Settlement} from '../core/outcome.js';
+import {type GateSettings} from '../protocol/settings.js';
+import {type RequestService} from './request_service.js';
+import {bearerToken, findByToken} from './tokens.js';
+
+const OUTCOME_HEADER = 'x-lagoonshunt-outcome';
+const RETRY_AFTER_S = 1;
+/** Longest time that one call may wait for an answer. */
+const MAX_WAIT_MS = 10 * 60_000;
+const KEY_PATTERN = /^[\x21-\x7e]{1,128}$/;
+
+interface KindParams {
+  readonly kind: string;
+}
+interface IdParams {
+  readonly id: string;
+}
+interface WaitQuery {
+  readonly wait?: string;
+}
+
+export class CallerApi {
+  constructor(
+    private readonly settings: GateSettings,
+    private readonly service: RequestService,
+  ) {}
+
+  register(http: FastifyInstance): void {
+    http.post<{Params: KindParams; Querystring: WaitQuery}>(
+      '/v1/requests/:kind',
+      (req, res) => this.submit(req, res),
+    );
+    http.get<{Params: IdParams; Querystring: WaitQuery}>(
+      '/v1/requests/:id',
+      (req, res) => this.read(req, res),
+    );
+    http.delete<{Params: IdParams}>('/v1/requests/:id', (req, res) =>
+      this.cancel(req, res),
+    );
+  }
+
+  private async submit(
+    req: FastifyRequest<{Params: KindParams; Querystring: WaitQuery}>,
+    res: FastifyReply,
+  ): Promise<FastifyReply> {
+    const workspace = this.authorize(req);
+    const body = (req.body as Buffer | undefined) ?? Buffer.alloc(0);
+    const id = await this.service.submit({
+      kind: req.params.kind,
+      workspace,
+      key: parseKey(header(req, 'idempotency-key')),
+      payloadHash: createHash('sha256').update(body).digest('hex'),
+      deadlineMs: parseMs('X-Deadline-Ms', header(req, 'x-deadline-ms')),
+      contentType: header(req, 'content-type') ?? 'application/octet-stream',
+      body,
+    });
+    const settlement = await this.service.wait(
+      id,
+      workspace,
+      parseWait(req.query.wait),
+    );
+    return send(res, id, settlement);
+  }
+
+  private async read(
+    req: FastifyRequest<{Params: IdParams; Querystring: WaitQuery}>,
+    res: FastifyReply,
+  ): Promise<FastifyReply> {
+    const workspace = this.authorize(req);
+    const waitMs = parseMs('wait', req.query.wait) ?? 0;
+    const settlement = await this.service.lookUp({
+      id: req.params.id,
+      workspace,
+      waitMs,
+      authorization: req.headers.authorization!,
+      forwarded: isForwarded(req),
+    });
+    return send(res, req.params.id, settlement);
+  }
+
+  private async cancel(
+    req: FastifyRequest<{Params: IdParams}>,
+    res: FastifyReply,
+  ): Promise<FastifyReply> {
+    const workspace = this.authorize(req);
+    const settlement = await this.service.cancel({
+      id: req.params.id,
+      workspace,
+      waitMs: 0,
+      authorization: req.headers.authorization!,
+      forwarded: isForwarded(req),
+    });
+    return send(res, req.params.id, settlement);
+  }
+
+  /** Workspace of the caller's token; `X-Workspace`, when it is sent, must agree. */
+  private authorize(req: FastifyRequest): string {
+    const token = bearerToken(req.headers.authorization);
+    const entry = token
+      ? findByToken(this.settings.workspaceTokens, token)
+      : undefined;
+    if (!entry)
+      throw new UnauthorizedError(
+        'expected "Authorization: Bearer" with the token of a workspace, found none that is known; ask an operator for a token',
+      );
+    const named = header(req, 'x-workspace');
+    if (named !== undefined && named !== entry.workspace) {
+      throw new NotFoundError(
+        `workspace "${named}" is not known to the holder of this token; send X-Workspace: ${entry.workspace} or use the other token`,
+      );
+    }
+    return entry.workspace;
+  }
+}
+
+/** Header that marks a call that one gate passed on to another. */
+export const FORWARDED_HEADER = 'x-lagoonshunt-forwarded';
+
+function isForwarded(req: FastifyRequest): boolean {
+  return header(req, FORWARDED_HEADER) !== undefined;
+}
+
+function header(req: FastifyRequest, name: string): string | undefined {
+  const value = req.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function parseKey(text: string | undefined): string | undefined {
+  if (text === undefined || KEY_PATTERN.test(text)) return text;
+  throw new BadRequestError(
+    'expected an Idempotency-Key of 1 to 128 printable characters without spaces; shorten or encode it',
+  );
+}
+
+function parseMs(name: string, text: string | undefined): number | undefined {
+  if (text === undefined) return undefined;
+  const value = Number(text);
+  if (/^\d+$/.test(text) && value > 0 && value <= Number.MAX_SAFE_INTEGER)
+    return value;
+  if (name === 'wait' && text === '0') return 0;
+  throw new BadRequestError(
+    `expected ${name} in whole milliseconds above 0, found "${text}"; correct the value`,
+  );
+}
+
+function parseWait(text: string | undefined): number {
+  return Math.min(MAX_WAIT_MS, parseMs('wait', text) ?? MAX_WAIT_MS);
+}
+
+/** Sends the end of a request, or 202 while there is none. */
+function send(
+  res: FastifyReply,
+  id: string,
+  settlement: Settlement | undefined,
+): FastifyReply {
+  res.header('location', `/v1/requests/${id}`);
+  res.header(OUTCOME_HEADER, settlement?.outcome ?? Outcome.PENDING);
+  if (!settlement) return res.code(202).send({id, outcome: Outcome.PENDING});
+  if (settlement.answer) {
+    return res
+      .code(settlement.answer.status)
+      .type(settlement.answer.contentType)
+      .send(Buffer.from(settlement.answer.body));
+  }
+  if (isRetryable(settlement)) res.header('retry-after', String(RETRY_AFTER_S));
+  return res
+    .code(statusOf(settlement))
+    .send({id, outcome: settlement.outcome, reason: settlement.reason});
+}
+
+function isRetryable(settlement: Settlement): boolean {
+  return settlement.outcome === Outcome.NOT_RUN && !settlement.permanent;
+}
+
+function statusOf(settlement: Settlement): number {
+  switch (settlement.outcome) {
+    case Outcome.NOT_RUN:
+      return settlement.permanent ? 422 : 503;
+    case Outcome.CANCELLED:
+      return 409;
+    case Outcome.UNKNOWN:
+      return 504;
+    default:
+      return 502;
+  }
+}
--- /dev/null
+++ b/src/daemons/gang_task.ts
@@ -0,0 +1,238 @@
+/** Runs the gang holder of an agent: carries its effects to gates and to the worker. */
+import {
+  GangHolder,
+  type HolderEffect,
+  type HolderInput,
+} from '../core/gang_holder.js';
+import {type ProcessRef} from '../core/ids.js';
+import {type Kernel} from '../core/kernel.js';
+import {Task, type Mailbox} from '../core/task.js';
+import {ShareState} from '../core/vocabulary.js';
+import {
+  type TaskReport,
+  TaskState,
+  WORKER,
+  type Worker,
+} from '../platform/worker.js';
+import {type GateMessage} from '../protocol/messages.js';
+import {type AgentSettings} from '../protocol/settings.js';
+import {type AgentLinkEvent, type AgentSend} from './agent_links.js';
+import {type ProcessContext} from './process_context.js';
+
+const WAIT_MS = 10_000;
+const RETRY_PAUSE_MS = 200;
+
+type StartOrder = Extract<GateMessage, {type: 'start'}>;
+
+export type GangMessage =
+  | AgentLinkEvent
+  | {readonly type: 'drain'}
+  | {readonly type: 'input'; readonly input: HolderInput};
+
+export class GangTask extends Task<GangMessage> {
+  readonly holder: GangHolder;
+  private readonly worker: Worker;
+  /** Start orders of gangs whose task has not been sent to the worker. */
+  private readonly orders = new Map<string, StartOrder>();
+  private readonly watched = new Set<string>();
+
+  constructor(
+    private readonly ctx: ProcessContext,
+    kernel: Kernel,
+    private readonly settings: AgentSettings,
+    private readonly links: Mailbox<AgentSend>,
+  ) {
+    super();
+    this.worker = kernel.make(WORKER, 'http', {address: settings.worker});
+    this.holder = new GangHolder({
+      agent: ctx.ref.id,
+      incarnation: ctx.ref.incarnation,
+      accelerators: settings.accelerators,
+      taskLeaseMs: settings.times.taskLeaseMs,
+    });
+  }
+
+  /** Stops what an earlier life of this agent left running. */
+  async clearWorker(): Promise<void> {
+    try {
+      await this.worker.stopAll();
+    } catch {
+      this.ctx.logs
+        .of('gangs')
+        .warn(
+          'The worker does not answer; its leases end what an earlier agent started.',
+        );
+    }
+  }
+
+  async close(): Promise<void> {
+    this.watched.clear();
+    await this.worker.close();
+  }
+
+  protected receive(message: GangMessage): void {
+    switch (message.type) {
+      case 'input':
+        return this.run(message.input);
+      case 'drain':
+        return this.run({type: 'drain'});
+      case 'tick':
+        return this.run({type: 'tick'});
+      case 'gateMessage':
+        return this.onGateMessage(message.gate, message.body);
+      default:
+        return;
+    }
+  }
+
+  private onGateMessage(gate: ProcessRef, body: GateMessage): void {
+    switch (body.type) {
+      case 'fence':
+      case 'reserve':
+      case 'stop':
+      case 'confirm':
+        return this.run({...body, gate: gate.id});
+      case 'start': {
+        this.orders.set(body.gang, body);
+        const {type, pool, epoch, gang, attempt} = body;
+        return this.run({type, gate: gate.id, pool, epoch, gang, attempt});
+      }
+      default:
+        return;
+    }
+  }
+
+  private run(input: HolderInput): void {
+    for (const effect of this.holder.handle(input, this.ctx.clock.nowMs()))
+      this.perform(effect);
+  }
+
+  private perform(effect: HolderEffect): void {
+    switch (effect.type) {
+      case 'startTask':
+        void this.startTask(effect);
+        return;
+      case 'renewTask':
+        void this.renewTask(effect.gang, effect.attempt);
+        return;
+      case 'stopTask':
+        void this.stopTask(effect.gang, effect.attempt, effect.checkpoint);
+        return;
+      default: {
+        const {gate, ...body} = effect;
+        return this.links.post({type: 'toGate', gate, body});
+      }
+    }
+  }
+
+  private async startTask(
+    effect: Extract<HolderEffect, {type: 'startTask'}>,
+  ): Promise<void> {
+    const {gang, attempt, accelerators, rank, size} = effect;
+    const order = this.orders.get(gang)!;
+    this.orders.delete(gang);
+    const task = taskId(gang, attempt);
+    this.watched.add(task);
+    this.ctx.timeline.add('gangs', `starts rank ${rank} of ${size}`, gang);
+    const {kind, workspace, contentType, body} = order;
+    const leaseMs = this.settings.times.taskLeaseMs;
+    const startedMs = this.ctx.clock.nowMs();
+    while (
+      this.watched.has(task) &&
+      this.ctx.clock.nowMs() - startedMs < leaseMs
+    ) {
+      try {
+        await this.worker.start({
+          task,
+          kind,
+          workspace,
+          contentType,
+          body,
+          accelerators,
+          rank,
+          size,
+          leaseMs,
+        });
+        return await this.watch(gang, attempt);
+      } catch {
+        await sleep(RETRY_PAUSE_MS);
+      }
+    }
+    this.ended(gang, attempt, {state: TaskState.FAILED});
+  }
+
+  /** Waits for the end of a task, through errors of the worker's interface. */
+  private async watch(gang: string, attempt: number): Promise<void> {
+    const task = taskId(gang, attempt);
+    while (this.watched.has(task)) {
+      try {
+        const report = await this.worker.wait(task, WAIT_MS);
+        if (report.state !== TaskState.RUNNING)
+          return this.ended(gang, attempt, report);
+      } catch {
+        await sleep(RETRY_PAUSE_MS);
+      }
+    }
+  }
+
+  private async renewTask(gang: string, attempt: number): Promise<void> {
+    const askedAtMs = this.ctx.clock.nowMs();
+    try {
+      const report = await this.worker.renew(
+        taskId(gang, attempt),
+        this.settings.times.taskLeaseMs,
+      );
+      if (report.state === TaskState.RUNNING)
+        this.post({
+          type: 'input',
+          input: {type: 'renewed', gang, attempt, askedAtMs},
+        });
+    } catch {
+      // The next confirmation tries again; without one, the lease ends the task.
+    }
+  }
+
+  private async stopTask(
+    gang: string,
+    attempt: number,
+    checkpoint: boolean,
+  ): Promise<void> {
+    try {
+      const report = await this.worker.stop(taskId(gang, attempt), checkpoint);
+      if (report.state !== TaskState.RUNNING) this.ended(gang, attempt, report);
+    } catch {
+      // The lease is no longer renewed and ends the task.
+    }
+  }
+
+  private ended(gang: string, attempt: number, report: TaskReport): void {
+    if (!this.watched.delete(taskId(gang, attempt))) return;
+    const state = shareStateOf(report.state);
+    this.ctx.timeline.add('gangs', `task ${state}`, gang);
+    this.post({
+      type: 'input',
+      input: {type: 'taskEnded', gang, attempt, state, answer: report.answer},
+    });
+  }
+}
+
+function taskId(gang: string, attempt: number): string {
+  return `${gang}.${attempt}`;
+}
+
+function shareStateOf(state: TaskState): ShareState {
+  switch (state) {
+    case TaskState.DONE:
+      return ShareState.DONE;
+    case TaskState.FAILED:
+      return ShareState.FAILED;
+    default:
+      return ShareState.STOPPED;
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/src/daemons/gate_daemon.ts
@@ -0,0 +1,288 @@
+/** The gate: an entry process for callers and operators. */
+import {type AddressInfo} from 'node:net';
+import {fastify, type FastifyInstance, type FastifyRequest} from 'fastify';
+import {type Kernel} from '../core/kernel.js';
+import {type ProcessRef} from '../core/ids.js';
+import {type TimelineEvent, mergeTimelines} from '../core/timeline.js';
+import {TABLE_SERVICE, type TableService} from '../platform/table_service.js';
+import {type GateAddress} from '../protocol/messages.js';
+import {type GateSettings} from '../protocol/settings.js';
+import {CallerApi} from './caller_api.js';
+import {ConfigTask} from './config_task.js';
+import {type Daemon, type DaemonAddresses} from './daemon.js';
+import {GangService} from './gang_service.js';
+import {type GateSend} from './gate_events.js';
+import {GateLinks} from './gate_links.js';
+import {reportErrors} from './http_errors.js';
+import {MembershipTask} from './membership_task.js';
+import {OperatorApi} from './operator_api.js';
+import {PoolsTask} from './pools_task.js';
+import {type ProcessContext, makeProcessContext} from './process_context.js';
+import {RecordStore} from './records.js';
+import {RequestService} from './request_service.js';
+import {RouterTask} from './router_task.js';
+import {TimelineCollector} from './timeline_collector.js';
+
+const TICK_MS = 100;
+const DRAIN_CHECK_MS = 50;
+/** Time in which the balancer sees that the gate is not ready before it refuses requests. */
+const NOT_READY_MS = 300;
+const MAX_HEADER_BYTES = 16 * 1024;
+
+export class GateDaemon implements Daemon {
+  private readonly ctx: ProcessContext;
+  private readonly tables: TableService;
+  private readonly records: RecordStore;
+  private readonly links: GateLinks;
+  private readonly config: ConfigTask;
+  private readonly membership: MembershipTask;
+  private readonly router: RouterTask;
+  private readonly pools: PoolsTask;
+  private readonly requests: RequestService;
+  private readonly collector: TimelineCollector;
+  private readonly http: FastifyInstance;
+  private readonly startedWallMs: number;
+  private httpPort = 0;
+  private linkPort = 0;
+  private readonly openCalls = new Set<FastifyRequest>();
+  private stopping = false;
+  private ticker: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly settings: GateSettings,
+    kernel: Kernel,
+  ) {
+    this.ctx = makeProcessContext(settings);
+    this.startedWallMs = this.ctx.clock.wallMs();
+    this.tables = kernel.make(TABLE_SERVICE, 'http', {
+      address: settings.tableService,
+      process: this.ctx.ref.incarnation,
+      readsPerS: settings.limits.tableReadsPerS,
+      writesPerS: settings.limits.tableWritesPerS,
+      seed: settings.seed,
+    });
+    this.records = new RecordStore(settings.limits.recordsPerGate);
+    const send = {post: (message: GateSend) => this.links.post(message)};
+    this.config = new ConfigTask(this.ctx, settings, this.tables, send);
+    this.membership = new MembershipTask(
+      this.ctx,
+      settings,
+      this.tables,
+      send,
+      () => this.address(),
+    );
+    this.router = new RouterTask(
+      this.ctx,
+      settings,
+      this.tables,
+      this.records,
+      send,
+    );
+    this.pools = this.makePools(send);
+    this.collector = new TimelineCollector(this.ctx, send);
+    this.links = new GateLinks(this.ctx, settings, {
+      versions: () => this.config.follower.versions,
+      gates: () => this.membership.gates(),
+      ownAddress: () => this.address(),
+    });
+    for (const task of [
+      this.config,
+      this.membership,
+      this.router,
+      this.pools,
+      this.collector,
+    ])
+      this.links.subscribe(task);
+    this.config.onChange(table => {
+      if (table === 'pools') this.pools.post({type: 'poolsChanged'});
+    });
+    this.requests = this.makeRequests();
+    this.http = fastify({
+      bodyLimit: settings.limits.bodyBytes,
+      http: {maxHeaderSize: MAX_HEADER_BYTES},
+      forceCloseConnections: 'idle',
+    });
+  }
+
+  async start(): Promise<DaemonAddresses> {
+    this.linkPort = await this.links.listening();
+    this.registerHttp();
+    await this.http.listen({
+      host: this.settings.host,
+      port: this.settings.httpPort,
+    });
+    this.httpPort = (this.http.server.address() as AddressInfo).port;
+    this.ticker = setInterval(() => this.tick(), TICK_MS);
+    const {http, link} = this.address();
+    this.ctx.logs.of('gate').info(`Callers at ${http}, agents at ${link}.`);
+    return {http, link};
+  }
+
+  /** Not ready first, then hands its pools over, finishes what is in flight, and closes. */
+  async stop(): Promise<void> {
+    this.stopping = true;
+    this.ctx.timeline.add('gate', 'graceful stop');
+    await sleep(NOT_READY_MS);
+    await this.membership.announceStop();
+    await this.pools.release();
+    const giveUpMs = this.ctx.clock.nowMs() + this.settings.times.stopGraceMs;
+    while (!this.isIdle() && this.ctx.clock.nowMs() < giveUpMs)
+      await sleep(DRAIN_CHECK_MS);
+    this.requests.drain();
+    await this.http.close();
+    clearInterval(this.ticker);
+    this.links.close();
+    await this.tables.close();
+  }
+
+  private isIdle(): boolean {
+    return this.openCalls.size === 0 && this.router.pendingCount === 0;
+  }
+
+  private registerHttp(): void {
+    reportErrors(this.http);
+    this.http.removeAllContentTypeParsers();
+    this.http.addContentTypeParser(
+      '*',
+      {parseAs: 'buffer'},
+      (req, body, done) => done(null, body),
+    );
+    this.http.addHook('onRequest', async (req, res) => {
+      this.openCalls.add(req);
+      if (this.stopping) res.header('connection', 'close');
+    });
+    this.http.addHook('onResponse', async req => {
+      this.openCalls.delete(req);
+    });
+    this.http.addHook('onRequestAbort', async req => {
+      this.openCalls.delete(req);
+    });
+    new CallerApi(this.settings, this.requests).register(this.http);
+    new OperatorApi(this.settings, this.config, {
+      status: () => this.status(),
+      isReady: () => this.isReady(),
+      metrics: () => this.formatMetrics(),
+      timeline: (...query) => this.collectTimeline(...query),
+    }).register(this.http);
+  }
+
+  private tick(): void {
+    // Links first: a process that was paused must not act on what waited in its sockets.
+    this.links.tick();
+    for (const task of [this.config, this.membership, this.router, this.pools])
+      task.post({type: 'tick'});
+  }
+
+  private isReady(): boolean {
+    return !this.stopping && this.config.follower.versions.routes > 0;
+  }
+
+  private address(): GateAddress {
+    const {host, place} = this.settings;
+    return {
+      ...this.ctx.ref,
+      link: `ws://${host}:${this.linkPort}`,
+      http: `http://${host}:${this.httpPort}`,
+      place,
+    };
+  }
+
+  private status() {
+    return {
+      gate: this.ctx.ref,
+      place: this.settings.place,
+      ready: this.isReady(),
+      versions: this.config.follower.versions,
+      gates: this.membership.gates(),
+      connectedGates: this.links.connectedGates(),
+      agents: [...this.router.router.directory.all()].map(view => ({
+        agent: view.ref,
+        place: view.place,
+        announcement: view.announcement,
+        outstanding: view.outstanding,
+        ejected: view.ejectedUntilMs > this.ctx.clock.nowMs(),
+      })),
+      agentVersions: this.config.versionsOfAgents(),
+      queues: this.router.router.queueLengths(),
+      pending: this.router.pendingCount,
+      pools: this.pools.status(),
+      tableService: this.tables.counts(),
+    };
+  }
+
+  private formatMetrics(): string {
+    const {reads, writes, failures} = this.tables.counts();
+    const lines = [
+      `lagoonshunt_link_bytes_sent ${this.links.bytesSent()}`,
+      `lagoonshunt_table_reads ${reads}`,
+      `lagoonshunt_table_writes ${writes}`,
+      `lagoonshunt_table_failures ${failures}`,
+      `lagoonshunt_pending_requests ${this.router.pendingCount}`,
+    ];
+    return `${this.ctx.metrics.format()}${lines.join('\n')}\n`;
+  }
+
+  private async collectTimeline(
+    limit: number,
+    subject: string | undefined,
+    localOnly: boolean,
+    authorization: string,
+  ): Promise<TimelineEvent[]> {
+    const local = await this.collector.collectLocal(
+      this.links.connectedAgents(),
+      limit,
+      subject,
+    );
+    if (localOnly) return local;
+    const remote = await this.collector.collectRemote(
+      this.membership.gates(),
+      limit,
+      subject,
+      authorization,
+    );
+    return mergeTimelines([local, ...remote]).slice(-limit);
+  }
+
+  private makePools(links: {post(message: GateSend): void}): PoolsTask {
+    return new PoolsTask({
+      ctx: this.ctx,
+      settings: this.settings,
+      tables: this.tables,
+      config: this.config,
+      records: this.records,
+      links,
+      gates: () => this.membership.gates(),
+      knowsGates: () => this.membership.isReady,
+      isBeating: (gate: ProcessRef) => this.membership.isBeating(gate),
+      connectedGates: () => this.links.connectedGates(),
+    });
+  }
+
+  private makeRequests(): RequestService {
+    const gangs = new GangService({
+      clock: this.ctx.clock,
+      tables: this.tables,
+      records: this.records,
+      owners: this.pools,
+      reasonNeverFits: (route, workspace) =>
+        this.pools.reasonNeverFits(route, workspace),
+    });
+    return new RequestService({
+      gate: this.ctx.ref.id,
+      startedWallMs: this.startedWallMs,
+      clock: this.ctx.clock,
+      settings: this.settings,
+      config: this.config,
+      router: this.router,
+      gangs,
+      records: this.records,
+      findGate: id => this.membership.find(id),
+    });
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/src/daemons/gate_events.ts
@@ -0,0 +1,51 @@
+/** Events that a gate's links publish to its other tasks. */
+import {type ProcessRef} from '../core/ids.js';
+import {type Versions} from '../core/tables.js';
+import {type Announcement, type Load, type Place} from '../core/vocabulary.js';
+import {type AgentMessage, type GateMessage} from '../protocol/messages.js';
+
+export interface AgentUp {
+  readonly type: 'agentUp';
+  readonly agent: ProcessRef;
+  readonly place: Place;
+  readonly accelerators: number;
+  readonly versions: Versions;
+  readonly announcement: Announcement;
+  readonly load: Load;
+}
+
+export type GateLinkEvent =
+  | AgentUp
+  | {
+      readonly type: 'agentDown';
+      readonly agent: ProcessRef;
+      readonly reason: string;
+    }
+  | {
+      readonly type: 'agentMessage';
+      readonly agent: ProcessRef;
+      readonly body: AgentMessage;
+    }
+  | {readonly type: 'gateUp'; readonly gate: ProcessRef}
+  | {
+      readonly type: 'gateDown';
+      readonly gate: ProcessRef;
+      readonly reason: string;
+    }
+  | {
+      readonly type: 'gateMessage';
+      readonly gate: ProcessRef;
+      readonly body: GateMessage;
+    }
+  | {readonly type: 'tick'};
+
+/** Message that another task wants sent. */
+export type GateSend =
+  | {
+      readonly type: 'toAgent';
+      readonly agent: ProcessRef;
+      readonly body: GateMessage;
+    }
+  | {readonly type: 'toAllAgents'; readonly body: GateMessage}
+  | {readonly type: 'toGate'; readonly gate: string; readonly body: GateMessage}
+  | {readonly type: 'toAllGates'; readonly body: GateMessage};
--- /dev/null
+++ b/src/daemons/pool_seat.ts
@@ -0,0 +1,402 @@
+/** One pool at one gate: follows who owns it, takes it when it is free, and runs its coordinator while it owns it. */
+import {type ProcessRef} from '../core/ids.js';
+import {type Settlement} from '../core/outcome.js';
+import {type Pool, poolIncludes} from '../core/tables.js';
+import {type Place} from '../core/vocabulary.js';
+import {
+  type CoordinatorEffect,
+  type CoordinatorInput,
+  type MemberOrder,
+} from '../planning/coordinator_messages.js';
+import {GangCoordinator} from '../planning/gang_coordinator.js';
+import {type GangSpec} from '../planning/gang_spec.js';
+import {GuaranteePlanner} from '../planning/guarantee_planner.js';
+import {type PlannerStatus} from '../planning/pool_planner.js';
+import {type TableService} from '../platform/table_service.js';
+import {checkValue} from '../protocol/check.js';
+import {type GateMessage} from '../protocol/messages.js';
+import {
+  type GangRow,
+  type PoolOwnerRow,
+  poolOwnerRowSchema,
+} from '../protocol/rows.js';
+import {type GateSettings} from '../protocol/settings.js';
+import {GangRows, type HeldRow} from './gang_rows.js';
+import {type ProcessContext} from './process_context.js';
+
+const CHECK_INTERVAL_MS = 1000;
+/** Interval of the search for accepted gangs whose wake-up message was lost. */
+const RESCAN_INTERVAL_MS = 10_000;
+const CALL_TIMEOUT_MS = 2000;
+
+/** An agent that is connected to this gate. */
+export interface ConnectedAgent {
+  readonly ref: ProcessRef;
+  readonly place: Place;
+  readonly accelerators: number;
+}
+
+/** What a seat needs from the gate. */
+export interface SeatHost {
+  readonly ctx: ProcessContext;
+  readonly settings: GateSettings;
+  readonly tables: TableService;
+  agents(): Iterable<ConnectedAgent>;
+  /** True when this gate is the one that should own the pool. */
+  isPreferred(pool: Pool): boolean;
+  /** True when the named process is a gate that is alive. */
+  isAlive(owner: ProcessRef): boolean;
+  sendToAgent(agent: ProcessRef, body: GateMessage): void;
+  sendToAllGates(body: GateMessage): void;
+  settle(gang: string, settlement: Settlement): void;
+  /** Runs one step of the seat later, in its turn. */
+  defer(step: () => void): void;
+}
+
+interface Ownership {
+  readonly epoch: number;
+  /** Version of the owner row; gang writes are guarded by it. */
+  readonly rowVersion: number;
+  readonly coordinator: GangCoordinator;
+}
+
+export class PoolSeat {
+  private pool: Pool;
+  private readonly rows: GangRows;
+  private ownership: Ownership | undefined;
+  /** Owner as last heard of. */
+  private knownOwner:
+    {readonly owner: ProcessRef; readonly epoch: number} | undefined;
+  private busy = false;
+  private lastCheckMs = -Infinity;
+  private lastScanMs = 0;
+
+  constructor(
+    pool: Pool,
+    private readonly host: SeatHost,
+  ) {
+    this.pool = pool;
+    this.rows = new GangRows(pool.name, host.tables, () =>
+      host.ctx.clock.wallMs(),
+    );
+  }
+
+  get owner(): ProcessRef | undefined {
+    return this.ownership ? this.host.ctx.ref : this.knownOwner?.owner;
+  }
+
+  get epoch(): number {
+    return this.ownership?.epoch ?? this.knownOwner?.epoch ?? 0;
+  }
+
+  get isOwned(): boolean {
+    return this.ownership !== undefined;
+  }
+
+  get unfinishedCount(): number {
+    return this.ownership?.coordinator.unfinishedCount ?? 0;
+  }
+
+  plannerStatus(): PlannerStatus | undefined {
+    return this.ownership?.coordinator.plannerStatus();
+  }
+
+  configure(pool: Pool): void {
+    this.pool = pool;
+    if (!this.ownership) return;
+    this.run({type: 'configure', pool});
+    for (const agent of this.host.agents()) this.agentUp(agent);
+  }
+
+  // Events of the gate.
+
+  tick(): void {
+    if (this.ownership) this.run({type: 'tick'});
+    const nowMs = this.host.ctx.clock.nowMs();
+    if (this.busy) return;
+    if (this.ownership && nowMs - this.lastScanMs >= RESCAN_INTERVAL_MS)
+      return this.work(() => this.rescan());
+    if (this.ownership || nowMs - this.lastCheckMs < CHECK_INTERVAL_MS) return;
+    this.lastCheckMs = nowMs;
+    if (this.host.isPreferred(this.pool)) this.work(() => this.takeIfFree());
+  }
+
+  agentUp(agent: ConnectedAgent): void {
+    if (!this.ownership || !this.includes(agent)) return;
+    const site = {
+      id: agent.ref.id,
+      rack: `${agent.place.dataCentre}/${agent.place.rack}`,
+      accelerators: agent.accelerators,
+    };
+    this.run({type: 'agentUp', agent: agent.ref, site});
+  }
+
+  /** Passes an input on to the coordinator, if this gate owns the pool. */
+  run(input: CoordinatorInput): void {
+    if (!this.ownership) return;
+    const {clock} = this.host.ctx;
+    const effects = this.ownership.coordinator.handle(
+      input,
+      clock.nowMs(),
+      clock.wallMs(),
+    );
+    for (const effect of effects) this.perform(effect);
+  }
+
+  /** A gang was accepted; `epoch` is the owner's that the sender knew. */
+  wake(gang: string, epoch: number): void {
+    if (!this.ownership || this.ownership.coordinator.knows(gang)) return;
+    const isOwn = epoch === this.ownership.epoch;
+    void this.loadOne(gang, !isOwn);
+  }
+
+  noteOwner(owner: ProcessRef, epoch: number): void {
+    if (epoch <= this.epoch) return;
+    this.knownOwner = {owner, epoch};
+    if (this.ownership) this.stepDown();
+  }
+
+  /** Gives the pool up on purpose, so that another gate takes it at once. */
+  async release(): Promise<void> {
+    if (!this.ownership) return;
+    const {rowVersion, epoch} = this.ownership;
+    this.ownership = undefined;
+    const value: PoolOwnerRow = {
+      owner: this.host.ctx.ref,
+      epoch,
+      released: true,
+    };
+    await this.host.tables
+      .write({key: this.key, expectVersion: rowVersion, value}, CALL_TIMEOUT_MS)
+      .catch(() => undefined);
+  }
+
+  // Ownership.
+
+  private get key(): string {
+    return `pool/${this.pool.name}`;
+  }
+
+  private includes(agent: ConnectedAgent): boolean {
+    return poolIncludes(
+      this.pool,
+      agent.ref.id,
+      agent.place.dataCentre,
+      agent.place.rack,
+    );
+  }
+
+  private work(step: () => Promise<void>): void {
+    this.busy = true;
+    void step()
+      .catch(() => undefined)
+      .finally(() => {
+        this.busy = false;
+      });
+  }
+
+  private async takeIfFree(): Promise<void> {
+    const row = await this.host.tables.get(this.key, CALL_TIMEOUT_MS);
+    const current = row && parseOwnerRow(row.value);
+    if (current && !current.released && this.host.isAlive(current.owner)) {
+      this.knownOwner = {owner: current.owner, epoch: current.epoch};
+      return;
+    }
+    const epoch = Math.max(current?.epoch ?? 0, this.epoch) + 1;
+    const value: PoolOwnerRow = {
+      owner: this.host.ctx.ref,
+      epoch,
+      released: false,
+    };
+    const reply = await this.host.tables.write(
+      {key: this.key, expectVersion: row?.version ?? 0, value},
+      CALL_TIMEOUT_MS,
+    );
+    if (reply.type !== 'committed') return;
+    this.takeOver(epoch, reply.version);
+    await this.loadAll();
+  }
+
+  private takeOver(epoch: number, rowVersion: number): void {
+    const planner = new GuaranteePlanner();
+    const coordinator = new GangCoordinator({
+      epoch,
+      taskLeaseMs: this.host.settings.times.taskLeaseMs,
+      planner,
+    });
+    this.ownership = {epoch, rowVersion, coordinator};
+    this.host.ctx.timeline.add(
+      'pools',
+      `owns the pool at epoch ${epoch}`,
+      this.pool.name,
+    );
+    this.host.ctx.logs
+      .of('pools')
+      .info(`Owns pool ${this.pool.name} at epoch ${epoch}.`);
+    this.run({type: 'configure', pool: this.pool});
+    for (const agent of this.host.agents()) this.agentUp(agent);
+    this.announce();
+  }
+
+  /** Tells the other gates who owns the pool. */
+  announce(): void {
+    if (!this.ownership) return;
+    this.host.sendToAllGates({
+      type: 'poolOwner',
+      pool: this.pool.name,
+      owner: this.host.ctx.ref,
+      epoch: this.ownership.epoch,
+    });
+  }
+
+  private stepDown(): void {
+    this.ownership = undefined;
+    this.host.ctx.timeline.add('pools', 'stepped down', this.pool.name);
+    this.host.ctx.logs
+      .of('pools')
+      .info(`Stepped down from pool ${this.pool.name}.`);
+  }
+
+  // Rows of gangs.
+
+  private async loadAll(): Promise<void> {
+    this.lastScanMs = this.host.ctx.clock.nowMs();
+    for (const held of await this.rows.scan()) this.take(held, true);
+  }
+
+  private async rescan(): Promise<void> {
+    this.announce();
+    await this.loadAll();
+  }
+
+  private async loadOne(gang: string, recovered: boolean): Promise<void> {
+    try {
+      const held = await this.rows.read(gang);
+      if (held) this.take(held, recovered);
+    } catch {
+      // The next scan finds it.
+    }
+  }
+
+  private take({row, version}: HeldRow, recovered: boolean): void {
+    this.host.defer(() =>
+      this.run({
+        type: 'gang',
+        spec: specOf(row),
+        rowVersion: version,
+        mark: row.mark,
+        recovered,
+      }),
+    );
+  }
+
+  // Effects.
+
+  private perform(effect: CoordinatorEffect): void {
+    const guard = {key: this.key, version: this.ownership?.rowVersion ?? 0};
+    switch (effect.type) {
+      case 'order':
+        return this.host.sendToAgent(
+          effect.agent,
+          this.orderMessage(effect.order),
+        );
+      case 'writeMark':
+        return this.reply(
+          effect.gang,
+          this.rows.writeMark(
+            effect.gang,
+            effect.rowVersion,
+            effect.mark,
+            guard,
+          ),
+        );
+      case 'writeEnd':
+        return this.reply(
+          effect.gang,
+          this.rows.writeEnd(
+            effect.gang,
+            effect.rowVersion,
+            effect.settlement,
+            guard,
+          ),
+        );
+      case 'recordEnd':
+        void this.rows
+          .recordEnd(effect.gang, effect.rowVersion, effect.settlement)
+          .catch(() => undefined);
+        return;
+      case 'settle':
+        return this.settle(effect.gang, effect.settlement);
+      case 'event':
+        return this.host.ctx.timeline.add('pools', effect.event, effect.gang);
+      case 'stepDown':
+        return this.stepDown();
+    }
+  }
+
+  private reply(
+    gang: string,
+    written: ReturnType<GangRows['writeMark']>,
+  ): void {
+    void written.then(reply =>
+      this.host.defer(() => this.run({type: 'rowReply', gang, reply})),
+    );
+  }
+
+  private settle(gang: string, settlement: Settlement): void {
+    this.host.settle(gang, settlement);
+    this.host.sendToAllGates({
+      type: 'gangEnd',
+      pool: this.pool.name,
+      gang,
+      settlement: settlement as never,
+    });
+  }
+
+  private orderMessage(order: MemberOrder): GateMessage {
+    const pool = this.pool.name;
+    if (order.type !== 'start') return {...order, pool};
+    const row = this.rows.get(order.gang)!;
+    return {
+      ...order,
+      pool,
+      kind: row.kind,
+      workspace: row.workspace,
+      contentType: row.contentType,
+      body: Buffer.from(row.bodyBase64, 'base64'),
+      rank: 0,
+      checkpointable: row.checkpointable,
+    };
+  }
+}
+
+function specOf(row: GangRow): GangSpec {
+  const {
+    id,
+    workspace,
+    kind,
+    shape,
+    idempotent,
+    preemptible,
+    checkpointable,
+    acceptedWallMs,
+    deadlineWallMs,
+  } = row;
+  return {
+    id,
+    workspace,
+    kind,
+    shape,
+    class: row.class,
+    idempotent,
+    preemptible,
+    checkpointable,
+    acceptedWallMs,
+    deadlineWallMs,
+  };
+}
+
+function parseOwnerRow(value: unknown): PoolOwnerRow | undefined {
+  const checked = checkValue(value, poolOwnerRowSchema);
+  return checked.ok ? checked.value : undefined;
+}
--- /dev/null
+++ b/src/daemons/process_context.ts
@@ -0,0 +1,50 @@
+/** What every task of one process shares. */
+import {randomBytes} from 'node:crypto';
+import {type Clock} from '../core/clock.js';
+import {HybridClock} from '../core/hybrid_clock.js';
+import {type ProcessRef, makeIncarnation} from '../core/ids.js';
+import {Random} from '../core/random.js';
+import {Timeline} from '../core/timeline.js';
+import {type Place} from '../core/vocabulary.js';
+import {type LogLevel, LoggerFactory} from '../plugins/logger.js';
+import {Metrics} from '../plugins/metrics.js';
+import {SystemClock} from '../plugins/system_clock.js';
+
+const INCARNATION_RANDOM_BYTES = 8;
+
+export interface ProcessContext {
+  readonly ref: ProcessRef;
+  readonly place: Place;
+  readonly clock: Clock;
+  readonly hybrid: HybridClock;
+  readonly random: Random;
+  readonly logs: LoggerFactory;
+  readonly metrics: Metrics;
+  readonly timeline: Timeline;
+}
+
+export interface ProcessOptions {
+  readonly id: string;
+  readonly place: Place;
+  readonly logLevel: LogLevel;
+  readonly seed: number;
+}
+
+export function makeProcessContext(options: ProcessOptions): ProcessContext {
+  const clock = new SystemClock();
+  const hybrid = new HybridClock(clock);
+  const randomHex = randomBytes(INCARNATION_RANDOM_BYTES).toString('hex');
+  return {
+    ref: {
+      id: options.id,
+      incarnation: makeIncarnation(clock.wallMs(), randomHex),
+    },
+    place: options.place,
+    clock,
+    hybrid,
+    random: new Random(options.seed),
+    logs: new LoggerFactory(options.id, options.logLevel),
+    metrics: new Metrics(),
+    timeline: new Timeline(options.id, hybrid),
+  };
+}
--- /dev/null
+++ b/src/daemons/router_task.ts
@@ -0,0 +1,288 @@
+/** Runs the request router: carries its effects to agents, the table service and the records. */
+import {type ProcessRef} from '../core/ids.js';
+import {type Settlement} from '../core/outcome.js';
+import {
+  type ClaimReply,
+  type ClaimRow,
+  type ClaimWrite,
+  type RouterEffect,
+  type RouterInput,
+  type SubmitInput,
+} from '../core/request_messages.js';
+import {RequestRouter} from '../core/request_router.js';
+import {Task, type Mailbox} from '../core/task.js';
+import {type TableService} from '../platform/table_service.js';
+import {checkValue} from '../protocol/check.js';
+import {type AgentMessage} from '../protocol/messages.js';
+import {claimRowSchema} from '../protocol/rows.js';
+import {type GateSettings} from '../protocol/settings.js';
+import {loadSettlement, storeSettlement} from '../protocol/settlement_codec.js';
+import {type GateLinkEvent, type GateSend} from './gate_events.js';
+import {type ProcessContext} from './process_context.js';
+import {type RecordStore} from './records.js';
+
+/** Longest wait for a claim write before the caller is told `unknown`. */
+const CLAIM_TIMEOUT_MS = 3000;
+/** How long the end of a claim is retried while the table service is away. */
+const RECORD_END_TIMEOUT_MS = 15 * 60_000;
+
+export interface RequestBody {
+  readonly contentType: string;
+  readonly bytes: Uint8Array;
+}
+
+export type RouterMessage =
+  | GateLinkEvent
+  | {
+      readonly type: 'submit';
+      readonly input: SubmitInput;
+      readonly body: RequestBody;
+    }
+  | {readonly type: 'cancel'; readonly req: string}
+  | {
+      readonly type: 'claimReply';
+      readonly req: string;
+      readonly reply: ClaimReply;
+    };
+
+interface HeldRequest {
+  readonly input: SubmitInput;
+  readonly body: RequestBody;
+  readonly acceptedMs: number;
+}
+
+export class RouterTask extends Task<RouterMessage> {
+  readonly router: RequestRouter;
+  private readonly held = new Map<string, HeldRequest>();
+
+  constructor(
+    private readonly ctx: ProcessContext,
+    settings: GateSettings,
+    private readonly tables: TableService,
+    private readonly records: RecordStore,
+    private readonly links: Mailbox<GateSend>,
+  ) {
+    super();
+    this.router = new RequestRouter({
+      dataCentre: settings.place.dataCentre,
+      queuePerService: settings.limits.queuePerService,
+      retryRatio: settings.limits.retryRatio,
+      seed: settings.seed,
+    });
+  }
+
+  /** Requests that wait for their end. */
+  get pendingCount(): number {
+    return this.held.size;
+  }
+
+  protected receive(message: RouterMessage): void {
+    switch (message.type) {
+      case 'submit':
+        this.held.set(message.input.req, {
+          input: message.input,
+          body: message.body,
+          acceptedMs: this.ctx.clock.nowMs(),
+        });
+        return this.run(message.input);
+      case 'cancel':
+      case 'claimReply':
+      case 'tick':
+        return this.run(message);
+      case 'agentUp':
+        return this.run(message);
+      case 'agentDown':
+        return this.run({type: 'agentDown', agent: message.agent});
+      case 'agentMessage':
+        return this.onAgentMessage(message.agent, message.body);
+      default:
+        return;
+    }
+  }
+
+  private onAgentMessage(agent: ProcessRef, body: AgentMessage): void {
+    switch (body.type) {
+      case 'heartbeat':
+        return this.run({type: 'load', agent, load: body.load});
+      case 'announce':
+        return this.run({
+          type: 'announce',
+          agent,
+          announcement: body.announcement,
+          load: body.load,
+        });
+      case 'result':
+        return this.run({
+          type: 'result',
+          agent,
+          run: body.req,
+          end: body.end,
+          answer: body.answer,
+          load: body.load,
+        });
+      case 'refused':
+        this.ctx.metrics.count(`refused_${body.reason}`);
+        return this.run({
+          type: 'refused',
+          agent,
+          run: body.req,
+          attempt: body.attempt,
+          reason: body.reason,
+          load: body.load,
+        });
+      case 'trace':
+        return this.run({
+          type: 'trace',
+          agent,
+          run: body.req,
+          attempt: body.attempt,
+          trace: body.trace,
+        });
+      default:
+        return;
+    }
+  }
+
+  private run(input: RouterInput): void {
+    for (const effect of this.router.handle(input, this.ctx.clock.nowMs()))
+      this.perform(effect);
+  }
+
+  private perform(effect: RouterEffect): void {
+    switch (effect.type) {
+      case 'dispatch':
+        return this.dispatch(effect);
+      case 'ask':
+        return this.links.post({
+          type: 'toAgent',
+          agent: effect.agent,
+          body: {type: effect.ask, req: effect.run, attempt: effect.attempt},
+        });
+      case 'ack':
+        return this.links.post({
+          type: 'toAgent',
+          agent: effect.agent,
+          body: {type: 'ack', req: effect.run},
+        });
+      case 'claim':
+        void this.writeClaim(effect.req, effect.write);
+        return;
+      case 'recordEnd':
+        void this.recordEnd(effect.write);
+        return;
+      case 'settle':
+        return this.settle(effect.req, effect.settlement);
+    }
+  }
+
+  private dispatch(effect: Extract<RouterEffect, {type: 'dispatch'}>): void {
+    const {input, body} = this.held.get(effect.req)!;
+    this.ctx.timeline.add(
+      'router',
+      `attempt ${effect.attempt} sent to ${effect.agent.id}`,
+      effect.run,
+    );
+    this.links.post({
+      type: 'toAgent',
+      agent: effect.agent,
+      body: {
+        type: 'dispatch',
+        req: effect.run,
+        attempt: effect.attempt,
+        kind: input.kind,
+        workspace: input.workspace,
+        service: input.service,
+        contentType: body.contentType,
+        body: body.bytes,
+        remainingMs: effect.remainingMs,
+      },
+    });
+  }
+
+  private settle(req: string, settlement: Settlement): void {
+    const held = this.held.get(req);
+    if (held) {
+      this.held.delete(req);
+      this.ctx.metrics.observe(
+        'request',
+        this.ctx.clock.nowMs() - held.acceptedMs,
+      );
+    }
+    this.ctx.metrics.count(`outcome_${settlement.outcome}`);
+    this.ctx.timeline.add('router', `settled ${settlement.outcome}`, req);
+    this.records.settle(req, settlement);
+  }
+
+  private async writeClaim(req: string, write: ClaimWrite): Promise<void> {
+    this.post({type: 'claimReply', req, reply: await this.tryClaim(write)});
+  }
+
+  private async tryClaim(write: ClaimWrite): Promise<ClaimReply> {
+    try {
+      const reply = await this.tables.write(
+        {...write, value: storeClaim(write.row)},
+        CLAIM_TIMEOUT_MS,
+      );
+      if (reply.type === 'committed') return reply;
+      if (reply.type === 'fenced') return {type: 'unavailable'};
+      return {
+        type: 'conflict',
+        version: reply.row?.version ?? 0,
+        row: reply.row && loadClaim(reply.row.value),
+      };
+    } catch {
+      return {type: 'unavailable'};
+    }
+  }
+
+  /** Writes the end of a claim, however long the table service is away. */
+  private async recordEnd(write: ClaimWrite): Promise<void> {
+    try {
+      const reply = await this.tables.write(
+        {...write, value: storeClaim(write.row)},
+        RECORD_END_TIMEOUT_MS,
+      );
+      if (reply.type === 'conflict')
+        await this.recordEndOver(
+          write,
+          reply.row?.version ?? 0,
+          reply.row?.value,
+        );
+    } catch {
+      this.ctx.timeline.add(
+        'router',
+        'end of claim not recorded',
+        write.row.run,
+      );
+    }
+  }
+
+  /** A follower of the same run has written the row meanwhile: the known end replaces an unknown one. */
+  private async recordEndOver(
+    write: ClaimWrite,
+    version: number,
+    value: unknown,
+  ): Promise<void> {
+    const row = value === undefined ? undefined : loadClaim(value);
+    const sameRun = row?.run === write.row.run && row.hash === write.row.hash;
+    if (!sameRun || row.settlement?.outcome === 'done') return;
+    await this.tables.write(
+      {...write, expectVersion: version, value: storeClaim(write.row)},
+      RECORD_END_TIMEOUT_MS,
+    );
+  }
+}
+
+function storeClaim(row: ClaimRow): unknown {
+  return {
+    ...row,
+    settlement: row.settlement && storeSettlement(row.settlement),
+  };
+}
+
+function loadClaim(value: unknown): ClaimRow {
+  const checked = checkValue(value, claimRowSchema);
+  if (!checked.ok) throw new TypeError('the claim row is damaged');
+  const {settlement, ...rest} = checked.value;
+  return {...rest, settlement: settlement && loadSettlement(settlement)};
+}
--- /dev/null
+++ b/src/daemons/wiring.ts
@@ -0,0 +1,25 @@
+/** The one place that puts the parts of a process together. */
+import {Kernel} from '../core/kernel.js';
+import {httpBackendServerPlugin} from '../plugins/http_backend_server.js';
+import {httpTableServicePlugin} from '../plugins/http_table_service.js';
+import {httpWorkerPlugin} from '../plugins/http_worker.js';
+import {type Settings} from '../protocol/settings.js';
+import {AgentDaemon} from './agent_daemon.js';
+import {type Daemon} from './daemon.js';
+import {GateDaemon} from './gate_daemon.js';
+
+/** Kernel with the plug-ins that ship with the project. */
+export function makeKernel(): Kernel {
+  return new Kernel([
+    httpTableServicePlugin,
+    httpBackendServerPlugin,
+    httpWorkerPlugin,
+  ]);
+}
+
+/** Builds the process that the settings describe. */
+export function makeDaemon(settings: Settings, kernel = makeKernel()): Daemon {
+  return settings.role === 'gate'
+    ? new GateDaemon(settings, kernel)
+    : new AgentDaemon(settings, kernel);
+}
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,19 @@
+/** Public interface of the library. */
+export {type Clock, ManualClock} from './core/clock.js';
+export {Kernel, type Plugin} from './core/kernel.js';
+export {type Route, type Pool, type Shape} from './core/tables.js';
+export {type Daemon} from './daemons/daemon.js';
+export {makeDaemon, makeKernel} from './daemons/wiring.js';
+export {BACKEND_SERVER, BackendServer} from './platform/backend_server.js';
+export {TABLE_SERVICE, TableService} from './platform/table_service.js';
+export {WORKER, Worker} from './platform/worker.js';
+export {
+  GuaranteePlanner,
+  type PlannerOptions,
+} from './planning/guarantee_planner.js';
+export {PoolPlanner} from './planning/pool_planner.js';
+export {
+  type AgentSettings,
+  type GateSettings,
+  type Settings,
+} from './protocol/settings.js';
--- /dev/null
+++ b/src/planning/buddy_pool.ts
@@ -0,0 +1,251 @@
+/**
+ * Buddy allocation over the accelerators of many workers. A cell is a block of
+ * 2^k accelerators of one worker, aligned to its size, or some whole workers of
+ * one rack. Best fit comes first, so that large cells outlast small jobs.
+ */
+import {getOrAdd} from '../core/fair_queue.js';
+
+/** Accelerators of one worker, one bit each. */
+export type Mask = number;
+
+/** A worker as the planner knows it. */
+export interface WorkerSite {
+  readonly id: string;
+  readonly rack: string;
+  /** Number of accelerators: a power of two, at most 16. */
+  readonly accelerators: number;
+}
+
+/** Accelerators of one worker, as part of a cell. */
+export interface Block {
+  readonly worker: string;
+  readonly mask: Mask;
+}
+
+export const MAX_ACCELERATORS_PER_WORKER = 16;
+/** Candidates of equal size that are compared before one is taken. */
+const COMPARED_CANDIDATES = 16;
+const NOTHING_EXCLUDED: ReadonlySet<string> = new Set();
+
+interface PoolWorker {
+  readonly site: WorkerSite;
+  /** Accelerators that can't be allocated. */
+  taken: Mask;
+  /** Sizes, as exponents, at which the worker is indexed. */
+  indexedSizes: number[];
+}
+
+interface PoolRack {
+  readonly id: string;
+  readonly workers: Set<PoolWorker>;
+  freeWorkers: number;
+}
+
+export class BuddyPool {
+  private readonly workers = new Map<string, PoolWorker>();
+  private readonly racks = new Map<string, PoolRack>();
+  /** Workers whose largest free blocks include one of 2^k accelerators. */
+  private readonly bySize = new Map<number, Set<PoolWorker>>();
+  private readonly racksByFreeWorkers = new Map<number, Set<PoolRack>>();
+
+  /** Adds a worker, all of it taken or all of it free. */
+  add(site: WorkerSite, taken: boolean): void {
+    const worker: PoolWorker = {
+      site,
+      taken: taken ? fullMask(site) : 0,
+      indexedSizes: [],
+    };
+    this.workers.set(site.id, worker);
+    const rack = getOrAdd(this.racks, site.rack, () => ({
+      id: site.rack,
+      workers: new Set<PoolWorker>(),
+      freeWorkers: 0,
+    }));
+    this.unindexRack(rack);
+    rack.workers.add(worker);
+    if (worker.taken === 0) rack.freeWorkers++;
+    this.indexRack(rack);
+    this.index(worker);
+  }
+
+  remove(id: string): void {
+    const worker = this.workers.get(id);
+    if (!worker) return;
+    this.setTaken(id, fullMask(worker.site));
+    this.unindex(worker);
+    this.workers.delete(id);
+    const rack = this.racks.get(worker.site.rack)!;
+    rack.workers.delete(worker);
+    if (rack.workers.size > 0) return;
+    this.unindexRack(rack);
+    this.racks.delete(rack.id);
+  }
+
+  takenMask(id: string): Mask {
+    return this.workers.get(id)?.taken ?? 0;
+  }
+
+  /** Marks accelerators as taken or free. */
+  setTaken(id: string, taken: Mask): void {
+    const worker = this.workers.get(id);
+    if (!worker || worker.taken === taken) return;
+    const rack = this.racks.get(worker.site.rack)!;
+    const freeBefore = worker.taken === 0;
+    this.unindex(worker);
+    worker.taken = taken;
+    this.index(worker);
+    const freeAfter = taken === 0;
+    if (freeBefore === freeAfter) return;
+    this.unindexRack(rack);
+    rack.freeWorkers += freeAfter ? 1 : -1;
+    this.indexRack(rack);
+  }
+
+  /** Finds a free block of `size` accelerators (a power of two) in one worker. */
+  findBlock(
+    size: number,
+    excluded: ReadonlySet<string> = NOTHING_EXCLUDED,
+  ): Block | undefined {
+    const maxExponent = Math.log2(MAX_ACCELERATORS_PER_WORKER);
+    for (let exponent = Math.log2(size); exponent <= maxExponent; exponent++) {
+      const worker = this.fullest(this.bySize.get(exponent), excluded);
+      if (!worker) continue;
+      const block = maximalFreeBlocks(
+        worker.taken,
+        worker.site.accelerators,
+      ).find(b => bitCount(b) === 1 << exponent)!;
+      return {worker: worker.site.id, mask: lowestBits(block, size)};
+    }
+    return undefined;
+  }
+
+  /** Finds `count` wholly free workers in one rack. */
+  findWorkers(
+    count: number,
+    excluded: ReadonlySet<string> = NOTHING_EXCLUDED,
+  ): Block[] | undefined {
+    const candidates = [...this.racksByFreeWorkers.keys()]
+      .filter(free => free >= count)
+      .sort((a, b) => a - b);
+    for (const free of candidates) {
+      for (const rack of this.racksByFreeWorkers.get(free)!) {
+        const workers = [...rack.workers].filter(
+          w => w.taken === 0 && !excluded.has(w.site.id),
+        );
+        if (workers.length < count) continue;
+        return workers
+          .slice(0, count)
+          .map(w => ({worker: w.site.id, mask: fullMask(w.site)}));
+      }
+    }
+    return undefined;
+  }
+
+  /** Free accelerators in all workers. */
+  freeCount(): number {
+    let count = 0;
+    for (const w of this.workers.values())
+      count += w.site.accelerators - bitCount(w.taken);
+    return count;
+  }
+
+  /** The worker with the fewest free accelerators, in the rack with the fewest free workers. */
+  private fullest(
+    candidates: Set<PoolWorker> | undefined,
+    excluded: ReadonlySet<string>,
+  ): PoolWorker | undefined {
+    let best: PoolWorker | undefined;
+    let compared = 0;
+    for (const worker of candidates ?? []) {
+      if (excluded.has(worker.site.id)) continue;
+      if (!best || this.isFuller(worker, best)) best = worker;
+      if (++compared >= COMPARED_CANDIDATES) break;
+    }
+    return best;
+  }
+
+  private isFuller(a: PoolWorker, b: PoolWorker): boolean {
+    const rackDifference =
+      this.racks.get(a.site.rack)!.freeWorkers -
+      this.racks.get(b.site.rack)!.freeWorkers;
+    if (rackDifference !== 0) return rackDifference < 0;
+    return bitCount(a.taken) > bitCount(b.taken);
+  }
+
+  private index(worker: PoolWorker): void {
+    const blocks = maximalFreeBlocks(worker.taken, worker.site.accelerators);
+    const sizes = new Set(blocks.map(b => Math.log2(bitCount(b))));
+    worker.indexedSizes = [...sizes];
+    for (const size of sizes)
+      getOrAdd(this.bySize, size, () => new Set<PoolWorker>()).add(worker);
+  }
+
+  private unindex(worker: PoolWorker): void {
+    for (const size of worker.indexedSizes)
+      this.bySize.get(size)!.delete(worker);
+    worker.indexedSizes = [];
+  }
+
+  private indexRack(rack: PoolRack): void {
+    getOrAdd(
+      this.racksByFreeWorkers,
+      rack.freeWorkers,
+      () => new Set<PoolRack>(),
+    ).add(rack);
+  }
+
+  private unindexRack(rack: PoolRack): void {
+    const set = this.racksByFreeWorkers.get(rack.freeWorkers);
+    set?.delete(rack);
+    if (set?.size === 0) this.racksByFreeWorkers.delete(rack.freeWorkers);
+  }
+}
+
+/** All accelerators of a worker. */
+export function fullMask(site: WorkerSite): Mask {
+  return (1 << site.accelerators) - 1;
+}
+
+export function bitCount(mask: Mask): number {
+  let count = 0;
+  for (let rest = mask; rest !== 0; rest &= rest - 1) count++;
+  return count;
+}
+
+/** Numbers of the accelerators in a mask. */
+export function indicesOf(mask: Mask): number[] {
+  const indices: number[] = [];
+  for (let i = 0; mask >> i; i++) if ((mask >> i) & 1) indices.push(i);
+  return indices;
+}
+
+/** The largest aligned free blocks of a worker. */
+export function maximalFreeBlocks(taken: Mask, accelerators: number): Mask[] {
+  const blocks: Mask[] = [];
+  const visit = (offset: number, size: number): void => {
+    const block = ((1 << size) - 1) << offset;
+    if ((taken & block) === 0) {
+      blocks.push(block);
+    } else if (size > 1) {
+      visit(offset, size / 2);
+      visit(offset + size / 2, size / 2);
+    }
+  };
+  visit(0, accelerators);
+  return blocks;
+}
+
+/** Aligned blocks of `size` accelerators inside a mask. */
+export function alignedBlocks(within: Mask, size: number): Mask[] {
+  const blocks: Mask[] = [];
+  for (let offset = 0; offset < MAX_ACCELERATORS_PER_WORKER; offset += size) {
+    const block = ((1 << size) - 1) << offset;
+    if ((within & block) === block) blocks.push(block);
+  }
+  return blocks;
+}
+
+function lowestBits(block: Mask, size: number): Mask {
+  const offset = Math.log2(block & -block);
+  return ((1 << size) - 1) << offset;
+}
--- /dev/null
+++ b/src/planning/cells.ts
@@ -0,0 +1,48 @@
+/** Shapes as lists of cells, largest first. */
+import {type Shape, ShapeLevel} from '../core/tables.js';
+
+/** One cell of a shape. */
+export type Cell =
+  /** A block of `size` accelerators of one worker; `size` is a power of two. */
+  | {readonly kind: 'block'; readonly size: number}
+  /** `count` whole workers of one rack. */
+  | {readonly kind: 'workers'; readonly count: number};
+
+/** Splits a shape into its cells. `perWorker` is the number of accelerators of a worker. */
+export function cellsOf(shape: Shape, perWorker: number): Cell[] {
+  const cells = shape.flatMap(({accelerators, level, count}) => {
+    const cell = cellOf(accelerators, level, perWorker);
+    return Array.from({length: count}, () => cell);
+  });
+  return cells.sort((a, b) => cellSize(b, perWorker) - cellSize(a, perWorker));
+}
+
+function cellOf(
+  accelerators: number,
+  level: ShapeLevel,
+  perWorker: number,
+): Cell {
+  const workers = Math.ceil(accelerators / perWorker);
+  if (level === ShapeLevel.RACK && workers > 1) {
+    return {kind: 'workers', count: workers};
+  }
+  if (level === ShapeLevel.RACK) return {kind: 'block', size: perWorker};
+  return {kind: 'block', size: 2 ** Math.ceil(Math.log2(accelerators))};
+}
+
+/** Accelerators of a cell. */
+export function cellSize(cell: Cell, perWorker: number): number {
+  return cell.kind === 'block' ? cell.size : cell.count * perWorker;
+}
+
+/** Accelerators of several cells. */
+export function totalSize(cells: readonly Cell[], perWorker: number): number {
+  return cells.reduce((sum, cell) => sum + cellSize(cell, perWorker), 0);
+}
+
+/** Text that is equal for equal lists of cells. */
+export function signatureOf(cells: readonly Cell[]): string {
+  return cells
+    .map(c => (c.kind === 'block' ? `b${c.size}` : `w${c.count}`))
+    .join(',');
+}
--- /dev/null
+++ b/src/planning/coordinator_messages.ts
@@ -0,0 +1,135 @@
+/** Inputs and effects of the coordinator of a pool. */
+import {type ProcessRef} from '../core/ids.js';
+import {type Answer, type Settlement} from '../core/outcome.js';
+import {type Pool} from '../core/tables.js';
+import {
+  type GangMember,
+  type ShareReport,
+  type ShareState,
+} from '../core/vocabulary.js';
+import {type WorkerSite} from './buddy_pool.js';
+import {type GangSpec, type StartMark} from './gang_spec.js';
+
+export type CoordinatorInput =
+  | {readonly type: 'configure'; readonly pool: Pool}
+  | {
+      readonly type: 'agentUp';
+      readonly agent: ProcessRef;
+      readonly site: WorkerSite;
+    }
+  | {readonly type: 'agentDown'; readonly agent: ProcessRef}
+  /** Whether the agent takes new gangs. */
+  | {
+      readonly type: 'agentServing';
+      readonly agent: ProcessRef;
+      readonly serving: boolean;
+    }
+  | {
+      readonly type: 'fenceAck';
+      readonly agent: ProcessRef;
+      readonly epoch: number;
+      readonly accepted: boolean;
+      readonly shares: readonly ShareReport[];
+    }
+  | {
+      readonly type: 'reserveAck';
+      readonly agent: ProcessRef;
+      readonly epoch: number;
+      readonly gang: string;
+      readonly attempt: number;
+      readonly accepted: boolean;
+      readonly reason: string;
+    }
+  | {
+      readonly type: 'shareReport';
+      readonly agent: ProcessRef;
+      readonly gang: string;
+      readonly attempt: number;
+      readonly state: ShareState;
+      readonly answer?: Answer;
+    }
+  /** An accepted gang; `recovered` when an earlier owner may have started it. */
+  | {
+      readonly type: 'gang';
+      readonly spec: GangSpec;
+      readonly rowVersion: number;
+      readonly mark?: StartMark;
+      readonly recovered: boolean;
+    }
+  | {readonly type: 'cancel'; readonly gang: string}
+  | {readonly type: 'rowReply'; readonly gang: string; readonly reply: RowReply}
+  | {readonly type: 'tick'};
+
+export type RowReply =
+  | {readonly type: 'committed'; readonly version: number}
+  /** Another process wrote the row: this one no longer owns the pool. */
+  | {readonly type: 'conflict'}
+  /** Another process has ended the gang. */
+  | {readonly type: 'ended'; readonly settlement: Settlement}
+  | {readonly type: 'unavailable'};
+
+/** What an agent is told. */
+export type MemberOrder =
+  | {readonly type: 'fence'; readonly epoch: number}
+  | {
+      readonly type: 'reserve';
+      readonly epoch: number;
+      readonly gang: string;
+      readonly attempt: number;
+      readonly members: GangMember[];
+      readonly holdMs: number;
+    }
+  | {
+      readonly type: 'start';
+      readonly epoch: number;
+      readonly gang: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly type: 'stop';
+      readonly epoch: number;
+      readonly gang: string;
+      readonly attempt: number;
+      readonly checkpoint: boolean;
+    }
+  | {
+      readonly type: 'confirm';
+      readonly epoch: number;
+      readonly gangs: string[];
+    };
+
+export type CoordinatorEffect =
+  | {
+      readonly type: 'order';
+      readonly agent: ProcessRef;
+      readonly order: MemberOrder;
+    }
+  /** Write the start mark and report the reply. */
+  | {
+      readonly type: 'writeMark';
+      readonly gang: string;
+      readonly rowVersion: number;
+      readonly mark: StartMark;
+    }
+  /** Write the end and report the reply. */
+  | {
+      readonly type: 'writeEnd';
+      readonly gang: string;
+      readonly rowVersion: number;
+      readonly settlement: Settlement;
+    }
+  /** Write the end when the table service allows; no reply is awaited. */
+  | {
+      readonly type: 'recordEnd';
+      readonly gang: string;
+      readonly rowVersion: number;
+      readonly settlement: Settlement;
+    }
+  | {
+      readonly type: 'settle';
+      readonly gang: string;
+      readonly settlement: Settlement;
+    }
+  | {readonly type: 'event'; readonly gang: string; readonly event: string}
+  /** A newer owner of the pool is known. */
+  | {readonly type: 'stepDown'};
--- /dev/null
+++ b/src/planning/drain_reservations.ts
@@ -0,0 +1,119 @@
+/**
+ * Cells reserved for large jobs that have waited too long. Work that can't be
+ * preempted no longer enters such a cell, so it drains; work that can be
+ * preempted may use it until the job starts.
+ */
+import {type Block, type Mask, alignedBlocks, fullMask} from './buddy_pool.js';
+import {type Cell} from './cells.js';
+import {type Job} from './job.js';
+import {type RuntimeEstimator} from './runtime_estimator.js';
+import {type SiteMap} from './site_map.js';
+
+export class DrainReservations {
+  /** Places by job, one for each cell. */
+  private readonly byJob = new Map<string, readonly (readonly Block[])[]>();
+
+  constructor(
+    private readonly sites: SiteMap,
+    private readonly estimator: RuntimeEstimator,
+  ) {}
+
+  get count(): number {
+    return this.byJob.size;
+  }
+
+  placesOf(job: string): readonly (readonly Block[])[] {
+    return this.byJob.get(job) ?? [];
+  }
+
+  has(job: string): boolean {
+    return this.byJob.has(job);
+  }
+
+  /** Reserves the cells that are expected to drain first; false when there is no room. */
+  reserve(job: Job, nowMs: number): boolean {
+    const reserved: Block[][] = [];
+    for (const cell of job.cells) {
+      const blocks = this.cheapest(cell, nowMs);
+      if (!blocks) {
+        this.unbind(reserved);
+        return false;
+      }
+      for (const block of blocks) this.sites.bind(block);
+      reserved.push(blocks);
+    }
+    this.byJob.set(job.spec.id, reserved);
+    return true;
+  }
+
+  release(job: string): void {
+    this.unbind(this.placesOf(job));
+    this.byJob.delete(job);
+  }
+
+  releaseAll(): void {
+    for (const job of [...this.byJob.keys()]) this.release(job);
+  }
+
+  private unbind(places: readonly (readonly Block[])[]): void {
+    for (const block of places.flat()) this.sites.unbind(block);
+  }
+
+  private cheapest(cell: Cell, nowMs: number): Block[] | undefined {
+    return cell.kind === 'block'
+      ? this.cheapestBlock(cell.size, nowMs)
+      : this.cheapestWorkers(cell.count, nowMs);
+  }
+
+  private cheapestBlock(size: number, nowMs: number): Block[] | undefined {
+    let best: Block | undefined;
+    let bestMs = Infinity;
+    for (const {site, usable} of this.sites.allSites()) {
+      if (!usable) continue;
+      for (const mask of alignedBlocks(fullMask(site), size)) {
+        const costMs = this.drainMs({worker: site.id, mask}, nowMs);
+        if (costMs >= bestMs) continue;
+        best = {worker: site.id, mask};
+        bestMs = costMs;
+      }
+    }
+    return best && [best];
+  }
+
+  private cheapestWorkers(count: number, nowMs: number): Block[] | undefined {
+    const byRack = new Map<string, {block: Block; costMs: number}[]>();
+    for (const {site, usable} of this.sites.allSites()) {
+      if (!usable) continue;
+      const block = {worker: site.id, mask: fullMask(site)};
+      const costMs = this.drainMs(block, nowMs);
+      if (costMs === Infinity) continue;
+      const list = byRack.get(site.rack) ?? [];
+      list.push({block, costMs});
+      byRack.set(site.rack, list);
+    }
+    let best: Block[] | undefined;
+    let bestMs = Infinity;
+    for (const list of byRack.values()) {
+      if (list.length < count) continue;
+      const chosen = list.sort((a, b) => a.costMs - b.costMs).slice(0, count);
+      const costMs = chosen[count - 1].costMs;
+      if (costMs >= bestMs) continue;
+      best = chosen.map(c => c.block);
+      bestMs = costMs;
+    }
+    return best;
+  }
+
+  /** Expected time until no fixed work is left in a block; infinite when it is promised. */
+  private drainMs(block: Block, nowMs: number): number {
+    const promised: Mask =
+      this.sites.boundMask(block.worker) | this.sites.claimedMask(block.worker);
+    if (promised & block.mask) return Infinity;
+    let longestMs = 0;
+    for (const job of this.sites.holdersIn(block)) {
+      if (!job.spec.preemptible)
+        longestMs = Math.max(longestMs, this.estimator.remainingMs(job, nowMs));
+    }
+    return longestMs;
+  }
+}
--- /dev/null
+++ b/src/planning/gang_coordinator.ts
@@ -0,0 +1,868 @@
+/**
+ * Runs the gangs of one pool for its owner: reserves every member, starts all or
+ * none, confirms gangs whose members are all in reach, and takes over what an
+ * earlier owner left. Agents obey the highest epoch, so a former owner can do no harm.
+ */
+import {LAPSE_MARGIN_MS} from '../core/gang_holder.js';
+import {type ProcessRef} from '../core/ids.js';
+import {Outcome, type Settlement} from '../core/outcome.js';
+import {TimerHeap} from '../core/timer_heap.js';
+import {
+  type GangMember,
+  type ShareReport,
+  ShareState,
+} from '../core/vocabulary.js';
+import {getOrAdd} from '../core/fair_queue.js';
+import {type Block, type WorkerSite, indicesOf} from './buddy_pool.js';
+import {
+  type CoordinatorEffect,
+  type CoordinatorInput,
+  type MemberOrder,
+  type RowReply,
+} from './coordinator_messages.js';
+import {
+  type Gang,
+  GangPhase,
+  Started,
+  type StartMark,
+  StopReason,
+  isOver,
+  newGang,
+} from './gang_spec.js';
+import {type JobSpec} from './job.js';
+import {
+  JobEnd,
+  type PlannerEffect,
+  type PlannerInput,
+  type PlannerStatus,
+  type PoolPlanner,
+} from './pool_planner.js';
+
+const RESERVE_HOLD_MS = 5000;
+const RESERVE_TIMEOUT_MS = 1500;
+/** Pause before a gang that could not be reserved is placed again. */
+const RETRY_PAUSE_MS = 250;
+const CONFIRM_INTERVAL_MS = 1000;
+/** Time that a member may be out of reach before its gang is stopped. */
+const LOST_GRACE_MS = 1500;
+/** Pause before the end of a gang is written again. */
+const END_RETRY_MS = 500;
+/** Time after a takeover in which the agents of the pool make themselves known. */
+const INVENTORY_WAIT_MS = 10_000;
+/** Attempts of one owner; each epoch has attempt numbers of its own. */
+const ATTEMPTS_PER_EPOCH = 1000;
+/** Slack added to lease bounds for delays between processes. */
+const BOUND_SLACK_MS = 500;
+
+export interface CoordinatorOptions {
+  readonly epoch: number;
+  readonly taskLeaseMs: number;
+  readonly planner: PoolPlanner;
+}
+
+interface MemberAgent {
+  ref: ProcessRef;
+  readonly site: WorkerSite;
+  /** True once it has acknowledged this epoch. */
+  fenced: boolean;
+  connected: boolean;
+  downSinceMs: number;
+  inPlanner: boolean;
+  /** True while it takes no new gangs. */
+  leaving: boolean;
+}
+
+export class GangCoordinator {
+  private readonly agents = new Map<string, MemberAgent>();
+  private readonly gangs = new Map<string, Gang>();
+  /** Shares that agents reported when they were fenced, by gang. */
+  private readonly reported = new Map<string, Map<string, ShareReport>>();
+  private readonly pauses = new TimerHeap<string>();
+  private readonly deadlines = new TimerHeap<string>();
+  private effects: CoordinatorEffect[] = [];
+  private nowMs = 0;
+  private wallMs = 0;
+  private startedAtMs: number | undefined;
+  private inventoryKnown = false;
+  private lastConfirmMs = 0;
+  private attempts = 0;
+  private readonly planner: PoolPlanner;
+
+  constructor(private readonly options: CoordinatorOptions) {
+    this.planner = options.planner;
+  }
+
+  get unfinishedCount(): number {
+    return this.gangs.size;
+  }
+
+  plannerStatus(): PlannerStatus {
+    return this.planner.status();
+  }
+
+  knows(gang: string): boolean {
+    return this.gangs.has(gang);
+  }
+
+  handle(
+    input: CoordinatorInput,
+    nowMs: number,
+    wallMs: number,
+  ): CoordinatorEffect[] {
+    this.nowMs = nowMs;
+    this.wallMs = wallMs;
+    this.startedAtMs ??= nowMs;
+    this.effects = [];
+    this.apply(input);
+    return this.effects;
+  }
+
+  private apply(input: CoordinatorInput): void {
+    switch (input.type) {
+      case 'configure':
+        return this.plan({type: 'configure', pool: input.pool});
+      case 'agentUp':
+        return this.onAgentUp(input.agent, input.site);
+      case 'agentDown':
+        return this.onAgentDown(input.agent);
+      case 'agentServing':
+        return this.onAgentServing(input.agent, input.serving);
+      case 'fenceAck':
+        return this.onFenceAck(input);
+      case 'reserveAck':
+        return this.onReserveAck(input);
+      case 'shareReport':
+        return this.onShareReport(input);
+      case 'gang':
+        return this.onGang(input);
+      case 'cancel':
+        return this.onCancel(input.gang);
+      case 'rowReply':
+        return this.onRowReply(input.gang, input.reply);
+      case 'tick':
+        return this.onTick();
+    }
+  }
+
+  // Agents.
+
+  private onAgentUp(ref: ProcessRef, site: WorkerSite): void {
+    const known = this.agents.get(ref.id);
+    if (known && known.ref.incarnation !== ref.incarnation)
+      this.onRestarted(known);
+    const inPlanner = known?.inPlanner ?? false;
+    this.agents.set(ref.id, {
+      ref,
+      site,
+      fenced: false,
+      connected: true,
+      downSinceMs: 0,
+      inPlanner,
+      leaving: false,
+    });
+    this.order(ref, {type: 'fence', epoch: this.options.epoch});
+  }
+
+  /** Whatever ran on the former incarnation has ended with it. */
+  private onRestarted(agent: MemberAgent): void {
+    this.takeFromPlanner(agent.ref);
+    for (const gang of this.gangsWith(agent.ref)) {
+      gang.states.set(agent.ref.id, ShareState.STOPPED);
+      this.beginStop(gang, StopReason.MEMBER_LOST);
+      this.concludeIfStopped(gang);
+    }
+  }
+
+  private onAgentServing(ref: ProcessRef, serving: boolean): void {
+    const agent = this.find(ref);
+    if (!agent || agent.leaving === !serving) return;
+    agent.leaving = !serving;
+    if (serving) return this.admitToPlanner(agent);
+    agent.inPlanner = false;
+    this.plan({type: 'workerLeaving', worker: ref.id});
+  }
+
+  private onAgentDown(ref: ProcessRef): void {
+    const agent = this.find(ref);
+    if (!agent) return;
+    agent.connected = false;
+    agent.fenced = false;
+    agent.downSinceMs = this.nowMs;
+    for (const gang of this.gangsWith(ref)) {
+      if (gang.phase === GangPhase.RESERVING)
+        this.beginStop(gang, StopReason.PREEMPTED);
+      gang.lostSinceMs ??= this.nowMs;
+    }
+  }
+
+  private takeFromPlanner(ref: ProcessRef): void {
+    const agent = this.find(ref);
+    if (!agent?.inPlanner) return;
+    agent.inPlanner = false;
+    this.plan({type: 'workerDown', worker: ref.id});
+  }
+
+  private onFenceAck(
+    input: Extract<CoordinatorInput, {type: 'fenceAck'}>,
+  ): void {
+    if (!input.accepted || input.epoch > this.options.epoch)
+      return void this.effects.push({type: 'stepDown'});
+    const agent = this.find(input.agent);
+    if (!agent || input.epoch !== this.options.epoch) return;
+    agent.fenced = true;
+    for (const share of input.shares) this.noteReported(input.agent.id, share);
+    this.admitToPlanner(agent);
+    for (const gang of this.gangsWith(input.agent)) this.checkReach(gang);
+  }
+
+  /** Lets the planner use a worker, once nothing left by an earlier owner is in doubt there. */
+  private admitToPlanner(agent: MemberAgent): void {
+    if (
+      agent.inPlanner ||
+      agent.leaving ||
+      !agent.fenced ||
+      agent.site.accelerators === 0
+    )
+      return;
+    if (this.isInDoubt(agent.ref.id)) return;
+    agent.inPlanner = true;
+    this.plan({type: 'workerUp', site: agent.site});
+  }
+
+  private isInDoubt(agent: string): boolean {
+    for (const [id, reports] of this.reported) {
+      const report = reports.get(agent);
+      if (!report || isOver(report.state)) continue;
+      const gang = this.gangs.get(id);
+      if (gang ? gang.phase === GangPhase.RECOVERING : !this.isRecoveryOver())
+        return true;
+    }
+    return false;
+  }
+
+  private noteReported(agent: string, share: ShareReport): void {
+    const gang = this.gangs.get(share.gang);
+    getOrAdd(
+      this.reported,
+      share.gang,
+      () => new Map<string, ShareReport>(),
+    ).set(agent, share);
+    if (!gang) return this.stopStray(agent, share);
+    if (gang.phase === GangPhase.RECOVERING) return this.tryAdopt(gang);
+    if (gang.attempt !== share.attempt) return this.stopStray(agent, share);
+    if (gang.members.length > 0) this.noteState(gang, agent, share.state);
+  }
+
+  /** Stops a share of a gang that this owner does not run, once recovery is over. */
+  private stopStray(agent: string, share: ShareReport): void {
+    if (!this.isRecoveryOver() || isOver(share.state)) return;
+    const {gang, attempt} = share;
+    this.order(this.agents.get(agent)!.ref, {
+      type: 'stop',
+      epoch: this.options.epoch,
+      gang,
+      attempt,
+      checkpoint: false,
+    });
+  }
+
+  private isRecoveryOver(): boolean {
+    return this.nowMs - this.startedAtMs! > this.leaseBoundMs();
+  }
+
+  /** Longest time that a task can outlive the last confirmation of its gang. */
+  private leaseBoundMs(): number {
+    return this.options.taskLeaseMs + LAPSE_MARGIN_MS + BOUND_SLACK_MS;
+  }
+
+  private find(ref: ProcessRef): MemberAgent | undefined {
+    const agent = this.agents.get(ref.id);
+    return agent?.ref.incarnation === ref.incarnation ? agent : undefined;
+  }
+
+  private isReachable(member: GangMember): boolean {
+    const agent = this.agents.get(member.agent);
+    return (
+      agent !== undefined &&
+      agent.connected &&
+      agent.fenced &&
+      agent.ref.incarnation === member.incarnation
+    );
+  }
+
+  private gangsWith(ref: ProcessRef): Gang[] {
+    return [...this.gangs.values()].filter(g =>
+      g.members.some(
+        m => m.agent === ref.id && m.incarnation === ref.incarnation,
+      ),
+    );
+  }
+
+  private checkReach(gang: Gang): void {
+    if (gang.members.every(m => this.isReachable(m)))
+      gang.lostSinceMs = undefined;
+  }
+
+  // Acceptance, cancellation and recovery.
+
+  private onGang(input: Extract<CoordinatorInput, {type: 'gang'}>): void {
+    if (this.gangs.has(input.spec.id)) return;
+    const gang = newGang(
+      input.spec,
+      input.rowVersion,
+      input.mark,
+      input.recovered,
+    );
+    this.gangs.set(input.spec.id, gang);
+    this.deadlines.add(input.spec.deadlineWallMs, input.spec.id);
+    if (!input.recovered) return this.enqueue(gang);
+    gang.phaseDeadlineMs = this.startedAtMs! + this.leaseBoundMs();
+    this.tryAdopt(gang);
+  }
+
+  private enqueue(gang: Gang): void {
+    gang.phase = GangPhase.QUEUED;
+    gang.members = [];
+    gang.states.clear();
+    gang.failedMembers.clear();
+    gang.lostSinceMs = undefined;
+    this.plan({type: 'submit', job: this.jobSpecOf(gang)});
+  }
+
+  /** Takes over a gang whose members all report that they run it. */
+  private tryAdopt(gang: Gang): void {
+    const reports = this.reported.get(gang.spec.id);
+    const [first] = reports?.values() ?? [];
+    if (!first || first.members.length === 0) return;
+    const states = first.members.map(m => reports!.get(m.agent));
+    const intact = states.every(
+      s =>
+        s &&
+        s.attempt === first.attempt &&
+        (s.state === ShareState.RUNNING || s.state === ShareState.DONE),
+    );
+    if (
+      !intact ||
+      !first.members.every(
+        m => this.agents.get(m.agent)?.ref.incarnation === m.incarnation,
+      )
+    )
+      return;
+    gang.phase = GangPhase.RUNNING;
+    gang.attempt = first.attempt;
+    gang.members = first.members;
+    for (const member of first.members)
+      gang.states.set(member.agent, reports!.get(member.agent)!.state);
+    this.event(gang, 'taken over while it runs');
+    const sites = first.members.map(m => this.agents.get(m.agent)!.site);
+    const blocks = first.members.map(blockOf);
+    this.plan({type: 'adopt', job: this.jobSpecOf(gang), sites, blocks});
+    for (const member of first.members)
+      this.agents.get(member.agent)!.inPlanner = true;
+    gang.started = Started.YES;
+  }
+
+  /** The time for taking a gang over has passed. */
+  private endRecovery(gang: Gang): void {
+    const reports = this.reported.get(gang.spec.id);
+    const [first] = reports?.values() ?? [];
+    const members = first?.members.length
+      ? first.members
+      : (gang.mark?.members ?? []);
+    if (members.length === 0) return this.enqueue(gang);
+    gang.members = [...members];
+    gang.attempt = Math.max(gang.attempt, first?.attempt ?? 0);
+    for (const [agent, share] of reports ?? [])
+      if (share.attempt === gang.attempt) gang.states.set(agent, share.state);
+    this.beginStop(gang, StopReason.RECOVERY);
+    this.concludeIfStopped(gang);
+  }
+
+  private onCancel(id: string): void {
+    const gang = this.gangs.get(id);
+    if (!gang || gang.cancelReason) return;
+    gang.cancelReason = 'it was cancelled';
+    if (gang.phase === GangPhase.RECOVERING || gang.phase === GangPhase.ENDING)
+      return;
+    this.plan({type: 'cancel', job: id, reason: gang.cancelReason});
+    if (gang.phase === GangPhase.RESERVING || gang.phase === GangPhase.MARKING)
+      this.beginStop(gang, StopReason.CANCELLED);
+  }
+
+  // The planner.
+
+  private plan(input: PlannerInput): void {
+    for (const effect of this.planner.handle(input, this.nowMs))
+      this.onPlannerEffect(effect);
+  }
+
+  private onPlannerEffect(effect: PlannerEffect): void {
+    if (effect.type === 'quarantine')
+      return (
+        this.effects.push({
+          type: 'event',
+          gang: effect.worker,
+          event: 'worker quarantined',
+        }),
+        undefined
+      );
+    const gang = this.gangs.get(effect.job);
+    if (!gang || gang.phase === GangPhase.ENDING) return;
+    switch (effect.type) {
+      case 'place':
+        return this.reserve(gang, effect.blocks);
+      case 'stop':
+        return this.beginStop(
+          gang,
+          gang.cancelReason ? StopReason.CANCELLED : StopReason.PREEMPTED,
+          effect.checkpoint,
+        );
+      case 'reject':
+        return this.writeEnd(
+          gang,
+          endOfRejected(gang, effect.reason, effect.permanent),
+        );
+      case 'fail':
+        return this.finish(gang, {
+          outcome: Outcome.FAILED,
+          reason: effect.reason,
+        });
+    }
+  }
+
+  // Reserve, mark, start.
+
+  private reserve(gang: Gang, blocks: readonly Block[]): void {
+    gang.members = this.membersOf(blocks);
+    gang.states.clear();
+    gang.failedMembers.clear();
+    gang.lostSinceMs = undefined;
+    gang.attempt = this.nextAttempt();
+    gang.phase = GangPhase.RESERVING;
+    gang.phaseDeadlineMs = this.nowMs + RESERVE_TIMEOUT_MS;
+    gang.stopReason = undefined;
+    if (!gang.members.every(m => this.isReachable(m)))
+      return this.beginStop(gang, StopReason.PREEMPTED);
+    const {epoch} = this.options;
+    for (const member of gang.members) {
+      this.orderMember(member, {
+        type: 'reserve',
+        epoch,
+        gang: gang.spec.id,
+        attempt: gang.attempt,
+        members: gang.members,
+        holdMs: RESERVE_HOLD_MS,
+      });
+    }
+  }
+
+  private nextAttempt(): number {
+    return (
+      this.options.epoch * ATTEMPTS_PER_EPOCH * ATTEMPTS_PER_EPOCH +
+      ++this.attempts
+    );
+  }
+
+  private membersOf(blocks: readonly Block[]): GangMember[] {
+    const masks = new Map<string, number>();
+    for (const {worker, mask} of blocks)
+      masks.set(worker, (masks.get(worker) ?? 0) | mask);
+    return [...masks]
+      .sort(([a], [b]) => a.localeCompare(b))
+      .map(([agent, mask]) => ({
+        agent,
+        incarnation: this.agents.get(agent)?.ref.incarnation ?? 'none',
+        accelerators: indicesOf(mask),
+      }));
+  }
+
+  private onReserveAck(
+    input: Extract<CoordinatorInput, {type: 'reserveAck'}>,
+  ): void {
+    if (input.epoch > this.options.epoch)
+      return void this.effects.push({type: 'stepDown'});
+    const gang = this.gangs.get(input.gang);
+    if (gang?.phase !== GangPhase.RESERVING || gang.attempt !== input.attempt)
+      return;
+    if (!input.accepted) {
+      this.event(gang, `${input.agent.id} refused: ${input.reason}`);
+      gang.states.set(input.agent.id, ShareState.SEALED);
+      return this.beginStop(gang, StopReason.PREEMPTED);
+    }
+    gang.states.set(input.agent.id, ShareState.RESERVED);
+    const all = gang.members.every(
+      m => gang.states.get(m.agent) === ShareState.RESERVED,
+    );
+    if (all) this.afterReserved(gang);
+  }
+
+  private afterReserved(gang: Gang): void {
+    if (gang.spec.idempotent) return this.startAll(gang);
+    gang.phase = GangPhase.MARKING;
+    gang.phaseDeadlineMs = this.nowMs + RESERVE_HOLD_MS;
+    const mark: StartMark = {
+      epoch: this.options.epoch,
+      attempt: gang.attempt,
+      members: gang.members,
+    };
+    gang.mark = mark;
+    this.effects.push({
+      type: 'writeMark',
+      gang: gang.spec.id,
+      rowVersion: gang.rowVersion,
+      mark,
+    });
+  }
+
+  private startAll(gang: Gang): void {
+    gang.phase = GangPhase.RUNNING;
+    gang.started = Started.YES;
+    this.event(gang, `starts on ${gang.members.map(m => m.agent).join(', ')}`);
+    for (const member of gang.members) {
+      this.orderMember(member, {
+        type: 'start',
+        epoch: this.options.epoch,
+        gang: gang.spec.id,
+        attempt: gang.attempt,
+      });
+    }
+  }
+
+  private onRowReply(id: string, reply: RowReply): void {
+    const gang = this.gangs.get(id);
+    if (!gang) return;
+    if (reply.type === 'conflict')
+      return void this.effects.push({type: 'stepDown'});
+    if (reply.type === 'ended')
+      return this.onEndedElsewhere(gang, reply.settlement);
+    if (reply.type === 'committed') gang.rowVersion = reply.version;
+    if (gang.phase === GangPhase.MARKING) return this.onMarkReply(gang, reply);
+    if (gang.phase !== GangPhase.ENDING) return;
+    if (reply.type === 'committed') return this.settle(gang, gang.settlement!);
+    gang.phaseDeadlineMs = this.nowMs + END_RETRY_MS;
+  }
+
+  /** An earlier owner has recorded the end of a gang. */
+  private onEndedElsewhere(gang: Gang, settlement: Settlement): void {
+    this.beginStop(gang, StopReason.CANCELLED);
+    this.settle(gang, settlement);
+    this.dropFromPlanner(gang);
+  }
+
+  /** Frees what the planner holds for a gang that is not to be queued again. */
+  private dropFromPlanner(gang: Gang): void {
+    const job = gang.spec.id;
+    this.plan({type: 'cancel', job, reason: 'it has ended'});
+    this.plan({
+      type: 'ended',
+      job,
+      end: JobEnd.STOPPED,
+      failedWorkers: [],
+      retry: false,
+    });
+  }
+
+  private onMarkReply(gang: Gang, reply: RowReply): void {
+    if (reply.type === 'committed') return this.startAll(gang);
+    this.beginStop(gang, StopReason.PREEMPTED);
+  }
+
+  // Reports of members.
+
+  private onShareReport(
+    input: Extract<CoordinatorInput, {type: 'shareReport'}>,
+  ): void {
+    const gang = this.gangs.get(input.gang);
+    if (!gang || gang.attempt !== input.attempt) return;
+    const member = gang.members.find(
+      m =>
+        m.agent === input.agent.id && m.incarnation === input.agent.incarnation,
+    );
+    if (!member) return;
+    if (input.answer) gang.answer = input.answer;
+    this.noteState(gang, input.agent.id, input.state);
+  }
+
+  private noteState(gang: Gang, agent: string, state: ShareState): void {
+    if (isOver(gang.states.get(agent)) && !isOver(state)) return;
+    gang.states.set(agent, state);
+    if (state === ShareState.FAILED) gang.failedMembers.add(agent);
+    if (gang.phase === GangPhase.RUNNING) this.onRunningState(gang, state);
+    else if (gang.phase === GangPhase.STOPPING) this.concludeIfStopped(gang);
+    else if (
+      isOver(state) &&
+      (gang.phase === GangPhase.RESERVING || gang.phase === GangPhase.MARKING)
+    )
+      this.beginStop(gang, StopReason.PREEMPTED);
+  }
+
+  private onRunningState(gang: Gang, state: ShareState): void {
+    if (state === ShareState.FAILED)
+      return this.beginStop(gang, StopReason.MEMBER_FAILED);
+    if (state === ShareState.STOPPED || state === ShareState.SEALED)
+      return this.beginStop(gang, StopReason.MEMBER_LOST);
+    const done = gang.members.every(
+      m => gang.states.get(m.agent) === ShareState.DONE,
+    );
+    if (!done || !gang.answer) return;
+    this.planEnded(gang, JobEnd.DONE, false);
+    this.finish(gang, {outcome: Outcome.DONE, answer: gang.answer});
+  }
+
+  // Stops.
+
+  private beginStop(gang: Gang, reason: StopReason, checkpoint = false): void {
+    if (gang.phase === GangPhase.STOPPING) {
+      if (reason === StopReason.CANCELLED) gang.stopReason = reason;
+      return;
+    }
+    if (
+      gang.phase === GangPhase.ENDING ||
+      gang.phase === GangPhase.ENDED ||
+      gang.phase === GangPhase.QUEUED
+    )
+      return;
+    gang.phase = GangPhase.STOPPING;
+    gang.stopReason = reason;
+    gang.phaseDeadlineMs = this.nowMs + this.leaseBoundMs();
+    this.event(gang, `stops: ${reason}`);
+    const {epoch} = this.options;
+    for (const member of gang.members) {
+      if (isOver(gang.states.get(member.agent))) continue;
+      this.orderMember(member, {
+        type: 'stop',
+        epoch,
+        gang: gang.spec.id,
+        attempt: gang.attempt,
+        checkpoint,
+      });
+    }
+    this.concludeIfStopped(gang);
+  }
+
+  private concludeIfStopped(gang: Gang): void {
+    if (gang.phase !== GangPhase.STOPPING) return;
+    const over = gang.members.every(m => isOver(gang.states.get(m.agent)));
+    if (over || this.nowMs > gang.phaseDeadlineMs) this.conclude(gang);
+  }
+
+  /** No member runs any more: decides what becomes of the gang. */
+  private conclude(gang: Gang): void {
+    const neverStarted = gang.members.every(
+      m => gang.states.get(m.agent) === ShareState.SEALED,
+    );
+    if (neverStarted && !gang.spec.idempotent) gang.started = Started.NO;
+    if (gang.stopReason === StopReason.MEMBER_FAILED) {
+      return this.planEnded(gang, JobEnd.FAILED, gang.spec.idempotent);
+    }
+    if (gang.cancelReason) return this.endCancelled(gang);
+    if (gang.spec.idempotent || neverStarted) return this.requeue(gang);
+    this.writeEnd(gang, {
+      outcome: Outcome.UNKNOWN,
+      reason: 'it was stopped while it may have run; it is not run again',
+    });
+    this.dropFromPlanner(gang);
+  }
+
+  private requeue(gang: Gang): void {
+    const wasPlanned = gang.stopReason !== StopReason.RECOVERY;
+    gang.phase = GangPhase.QUEUED;
+    if (!wasPlanned) return this.enqueue(gang);
+    this.pauses.add(this.nowMs + RETRY_PAUSE_MS, gang.spec.id);
+  }
+
+  private endCancelled(gang: Gang): void {
+    this.writeEnd(gang, endOfRejected(gang, gang.cancelReason!, false));
+    this.dropFromPlanner(gang);
+  }
+
+  /** Tells the planner how a gang ended; it may answer by queueing or failing it. */
+  private planEnded(gang: Gang, end: JobEnd, retry: boolean): void {
+    if (end !== JobEnd.DONE) gang.phase = GangPhase.QUEUED;
+    this.plan({
+      type: 'ended',
+      job: gang.spec.id,
+      end,
+      failedWorkers: [...gang.failedMembers],
+      retry,
+    });
+  }
+
+  // Ends.
+
+  private finish(gang: Gang, settlement: Settlement): void {
+    if (gang.phase === GangPhase.ENDED) return;
+    this.effects.push({
+      type: 'recordEnd',
+      gang: gang.spec.id,
+      rowVersion: gang.rowVersion,
+      settlement,
+    });
+    this.settle(gang, settlement);
+  }
+
+  /** Writes an end that callers rely on before it is told. */
+  private writeEnd(gang: Gang, settlement: Settlement): void {
+    gang.phase = GangPhase.ENDING;
+    gang.settlement = settlement;
+    gang.phaseDeadlineMs = Infinity;
+    this.effects.push({
+      type: 'writeEnd',
+      gang: gang.spec.id,
+      rowVersion: gang.rowVersion,
+      settlement,
+    });
+  }
+
+  private settle(gang: Gang, settlement: Settlement): void {
+    gang.phase = GangPhase.ENDED;
+    this.gangs.delete(gang.spec.id);
+    this.reported.delete(gang.spec.id);
+    this.event(gang, `ended ${settlement.outcome}`);
+    this.effects.push({type: 'settle', gang: gang.spec.id, settlement});
+  }
+
+  // Time.
+
+  private onTick(): void {
+    this.dropLostWorkers();
+    for (const agent of this.agents.values()) this.admitToPlanner(agent);
+    for (const gang of [...this.gangs.values()]) this.checkTimes(gang);
+    for (const id of this.pauses.takeDue(this.nowMs)) this.resume(id);
+    for (const id of this.deadlines.takeDue(this.wallMs)) this.onDeadline(id);
+    this.confirm();
+    this.plan({type: 'tick'});
+    if (
+      !this.inventoryKnown &&
+      this.nowMs - this.startedAtMs! > INVENTORY_WAIT_MS
+    ) {
+      this.inventoryKnown = true;
+      this.plan({type: 'inventoryKnown'});
+    }
+  }
+
+  private dropLostWorkers(): void {
+    for (const agent of this.agents.values()) {
+      if (!agent.connected && this.nowMs - agent.downSinceMs > LOST_GRACE_MS)
+        this.takeFromPlanner(agent.ref);
+    }
+  }
+
+  private checkTimes(gang: Gang): void {
+    const late = this.nowMs > gang.phaseDeadlineMs;
+    switch (gang.phase) {
+      case GangPhase.RECOVERING:
+        if (late) this.endRecovery(gang);
+        return;
+      case GangPhase.RESERVING:
+      case GangPhase.MARKING:
+        if (late) this.beginStop(gang, StopReason.PREEMPTED);
+        return;
+      case GangPhase.RUNNING:
+        if (
+          gang.lostSinceMs !== undefined &&
+          this.nowMs - gang.lostSinceMs > LOST_GRACE_MS
+        )
+          this.beginStop(gang, StopReason.MEMBER_LOST);
+        return;
+      case GangPhase.STOPPING:
+        return this.concludeIfStopped(gang);
+      case GangPhase.ENDING:
+        if (late) this.writeEnd(gang, gang.settlement!);
+        return;
+      default:
+        return;
+    }
+  }
+
+  private resume(id: string): void {
+    const gang = this.gangs.get(id);
+    if (gang?.phase !== GangPhase.QUEUED) return;
+    if (gang.cancelReason) return this.endCancelled(gang);
+    this.planEnded(gang, JobEnd.STOPPED, true);
+  }
+
+  private onDeadline(id: string): void {
+    const gang = this.gangs.get(id);
+    if (gang?.phase !== GangPhase.QUEUED) return;
+    gang.cancelReason ??= 'its deadline passed before it started';
+    this.plan({type: 'cancel', job: id, reason: gang.cancelReason});
+  }
+
+  /** Tells each agent which of its gangs are whole; it renews the leases of just these. */
+  private confirm(): void {
+    if (this.nowMs - this.lastConfirmMs < CONFIRM_INTERVAL_MS) return;
+    this.lastConfirmMs = this.nowMs;
+    const byAgent = new Map<string, string[]>();
+    for (const gang of this.gangs.values()) {
+      if (gang.phase !== GangPhase.RUNNING || gang.lostSinceMs !== undefined)
+        continue;
+      for (const {agent} of gang.members)
+        getOrAdd(byAgent, agent, () => [] as string[]).push(gang.spec.id);
+    }
+    for (const [id, gangs] of byAgent) {
+      this.order(this.agents.get(id)!.ref, {
+        type: 'confirm',
+        epoch: this.options.epoch,
+        gangs,
+      });
+    }
+  }
+
+  private orderMember(member: GangMember, order: MemberOrder): void {
+    this.order({id: member.agent, incarnation: member.incarnation}, order);
+  }
+
+  private order(agent: ProcessRef, order: MemberOrder): void {
+    this.effects.push({type: 'order', agent, order});
+  }
+
+  private jobSpecOf(gang: Gang): JobSpec {
+    const {id, workspace, kind, shape, preemptible} = gang.spec;
+    const {checkpointable, acceptedWallMs} = gang.spec;
+    const ageMs = Math.max(0, this.wallMs - acceptedWallMs);
+    return {
+      id,
+      workspace,
+      kind,
+      shape,
+      class: gang.spec.class,
+      preemptible,
+      checkpointable,
+      acceptedMs: this.nowMs - ageMs,
+    };
+  }
+
+  private event(gang: Gang, event: string): void {
+    this.effects.push({type: 'event', gang: gang.spec.id, event});
+  }
+}
+
+/** What a caller is told whose gang left the queue. Only a gang that surely never started was not run. */
+function endOfRejected(
+  gang: Gang,
+  reason: string,
+  permanent: boolean,
+): Settlement {
+  switch (gang.started) {
+    case Started.NO:
+      return {outcome: Outcome.NOT_RUN, reason, permanent};
+    case Started.YES:
+      return {
+        outcome: Outcome.CANCELLED,
+        reason: `it had started and was stopped; then ${reason}`,
+      };
+    case Started.MAYBE:
+      return {
+        outcome: Outcome.UNKNOWN,
+        reason: `${reason}, but an earlier owner of the pool may have started it`,
+      };
+  }
+}
+
+function blockOf(member: GangMember): Block {
+  return {
+    worker: member.agent,
+    mask: member.accelerators.reduce((mask, i) => mask | (1 << i), 0),
+  };
+}
