--- /dev/null
+++ b/src/planning/guarantee_layout.ts
@@ -0,0 +1,292 @@
+/**
+ * Binds each cell of each workspace's guarantee to a place in the pool. A bound
+ * cell holds nothing but free accelerators, work that can be preempted, and work
+ * of its own workspace, so the guaranteed shape can always be reclaimed. The
+ * bound cells are disjoint. The end of a job only frees accelerators and so keeps
+ * this true; every placement is checked against it.
+ */
+import {type Pool} from '../core/tables.js';
+import {
+  type Block,
+  BuddyPool,
+  type Mask,
+  alignedBlocks,
+  bitCount,
+  fullMask,
+} from './buddy_pool.js';
+import {type Cell, cellSize, cellsOf} from './cells.js';
+import {FixedWork} from './fixed_work.js';
+import {type Job} from './job.js';
+import {type SiteMap, findCell} from './site_map.js';
+
+/** One guaranteed cell; `blocks` is empty while it has no place. */
+export interface Binding {
+  readonly workspace: string;
+  readonly cell: Cell;
+  blocks: readonly Block[];
+}
+
+/** A guaranteed cell that can't be given at present. */
+export interface UnmetGuarantee {
+  readonly workspace: string;
+  readonly accelerators: number;
+}
+
+export class GuaranteeLayout {
+  private bindings: Binding[] = [];
+  private byWorkspace = new Map<string, Binding[]>();
+
+  constructor(
+    private readonly sites: SiteMap,
+    private readonly perWorker: number,
+  ) {}
+
+  bindingsOf(workspace: string): readonly Binding[] {
+    return this.byWorkspace.get(workspace) ?? [];
+  }
+
+  all(): readonly Binding[] {
+    return this.bindings;
+  }
+
+  unmet(): UnmetGuarantee[] {
+    return this.bindings
+      .filter(b => b.blocks.length === 0)
+      .map(b => ({
+        workspace: b.workspace,
+        accelerators: cellSize(b.cell, this.perWorker),
+      }));
+  }
+
+  get hasUnmet(): boolean {
+    return this.bindings.some(b => b.blocks.length === 0);
+  }
+
+  /** Takes over the guarantees of a pool and lays all of them out afresh. */
+  configure(pool: Pool, jobs: Iterable<Job>): void {
+    const former = this.bindings;
+    for (const binding of former) this.unbind(binding);
+    this.bindings = pool.workspaces.flatMap(({name, guarantee}) =>
+      cellsOf(guarantee, this.perWorker).map(cell => ({
+        workspace: name,
+        cell,
+        blocks: [],
+      })),
+    );
+    this.bindings.sort(
+      (a, b) =>
+        cellSize(b.cell, this.perWorker) - cellSize(a.cell, this.perWorker),
+    );
+    this.byWorkspace = groupByWorkspace(this.bindings);
+    this.layOut(former, jobs);
+  }
+
+  /** Lays all guarantees out afresh, keeping their places where possible. */
+  rebuild(jobs: Iterable<Job>): void {
+    const former = this.bindings.map(b => ({...b}));
+    for (const binding of this.bindings) this.unbind(binding);
+    this.layOut(former, jobs);
+  }
+
+  /** Finds places for the guarantees that have none. */
+  bindMissing(jobs: Iterable<Job>): void {
+    const fixed = new FixedWork(jobs);
+    const missing = this.bindings.filter(b => b.blocks.length === 0);
+    for (const binding of missing)
+      this.tryBind(binding, this.freshPool(fixed), fixed);
+    this.pin(fixed);
+  }
+
+  /** Drops the places on a worker that is gone. */
+  unbindWorker(worker: string): void {
+    for (const binding of this.bindings) {
+      if (binding.blocks.some(b => b.worker === worker)) this.unbind(binding);
+    }
+  }
+
+  /** Part of a block that is bound to a workspace. */
+  boundTo(workspace: string, worker: string): Mask {
+    let mask = 0;
+    for (const {blocks} of this.bindingsOf(workspace)) {
+      for (const block of blocks)
+        if (block.worker === worker) mask |= block.mask;
+    }
+    return mask;
+  }
+
+  /** Marks what a job that can't be preempted holds outside its own guarantee. */
+  pinJob(job: Job): void {
+    if (job.spec.preemptible) return;
+    for (const block of job.blocks) {
+      const outside =
+        block.mask & ~this.boundTo(job.spec.workspace, block.worker);
+      this.sites.setPinned(
+        block.worker,
+        this.sites.pinnedMask(block.worker) | outside,
+      );
+    }
+  }
+
+  unpinJob(job: Job): void {
+    if (job.spec.preemptible) return;
+    for (const block of job.blocks) {
+      this.sites.setPinned(
+        block.worker,
+        this.sites.pinnedMask(block.worker) & ~block.mask,
+      );
+    }
+  }
+
+  private layOut(former: readonly Binding[], jobs: Iterable<Job>): void {
+    const fixed = new FixedWork(jobs);
+    const pool = this.freshPool(fixed);
+    const places = former.filter(b => b.blocks.length > 0);
+    for (const binding of this.bindings) {
+      if (this.tryKeep(binding, places, pool, fixed)) continue;
+      this.tryBind(binding, pool, fixed);
+    }
+    this.pin(fixed);
+  }
+
+  /** Keeps a former place of an equal cell of the same workspace. */
+  private tryKeep(
+    binding: Binding,
+    places: Binding[],
+    pool: BuddyPool,
+    fixed: FixedWork,
+  ): boolean {
+    const at = places.findIndex(
+      p =>
+        p.workspace === binding.workspace &&
+        sameCell(p.cell, binding.cell) &&
+        this.isEligible(p.blocks, binding.workspace, pool, fixed),
+    );
+    if (at < 0) return false;
+    const [place] = places.splice(at, 1);
+    this.bindTo(binding, place.blocks, pool);
+    return true;
+  }
+
+  private tryBind(binding: Binding, pool: BuddyPool, fixed: FixedWork): void {
+    const own = this.aroundOwnWork(binding, pool, fixed);
+    const blocks = own ?? findCell(pool, binding.cell);
+    if (blocks) this.bindTo(binding, blocks, pool);
+  }
+
+  /** A place around fixed work of the same workspace, which no other workspace could use. */
+  private aroundOwnWork(
+    binding: Binding,
+    pool: BuddyPool,
+    fixed: FixedWork,
+  ): Block[] | undefined {
+    const {cell, workspace} = binding;
+    if (cell.kind === 'workers')
+      return this.rackAroundOwnWork(cell.count, workspace, pool, fixed);
+    let best: Block | undefined;
+    let bestWhite = Infinity;
+    for (const worker of fixed.workersOf(workspace)) {
+      const site = this.sites.siteOf(worker);
+      if (!site) continue;
+      for (const mask of alignedBlocks(fullMask(site), cell.size)) {
+        const block = {worker, mask};
+        const own = bitCount(mask & fixed.heldBy(workspace, worker));
+        if (own === 0 || !this.isEligible([block], workspace, pool, fixed))
+          continue;
+        if (cell.size - own >= bestWhite) continue;
+        best = block;
+        bestWhite = cell.size - own;
+      }
+    }
+    return best && [best];
+  }
+
+  private rackAroundOwnWork(
+    count: number,
+    workspace: string,
+    pool: BuddyPool,
+    fixed: FixedWork,
+  ): Block[] | undefined {
+    const own = new Set(fixed.workersOf(workspace));
+    const racks = new Set([...own].map(w => this.sites.siteOf(w)?.rack));
+    for (const rack of racks) {
+      const candidates = [...this.sites.allSites()]
+        .filter(s => s.usable && s.site.rack === rack)
+        .map(s => ({worker: s.site.id, mask: fullMask(s.site)}))
+        .filter(block => this.isEligible([block], workspace, pool, fixed))
+        .sort((a, b) => Number(own.has(b.worker)) - Number(own.has(a.worker)));
+      if (candidates.length >= count) return candidates.slice(0, count);
+    }
+    return undefined;
+  }
+
+  /** True when the blocks hold no binding and no fixed work of another workspace. */
+  private isEligible(
+    blocks: readonly Block[],
+    workspace: string,
+    pool: BuddyPool,
+    fixed: FixedWork,
+  ): boolean {
+    return blocks.every(({worker, mask}) => {
+      if (!this.sites.isUsable(worker)) return false;
+      if (this.sites.boundMask(worker) & mask) return false;
+      const foreign =
+        pool.takenMask(worker) & mask & ~fixed.heldBy(workspace, worker);
+      return foreign === 0;
+    });
+  }
+
+  /** Accelerators without bindings and without fixed work. */
+  private freshPool(fixed: FixedWork): BuddyPool {
+    const pool = new BuddyPool();
+    for (const {site, usable} of this.sites.allSites()) {
+      if (!usable) continue;
+      pool.add(site, false);
+      pool.setTaken(
+        site.id,
+        fixed.heldOn(site.id) | this.sites.boundMask(site.id),
+      );
+    }
+    return pool;
+  }
+
+  private bindTo(
+    binding: Binding,
+    blocks: readonly Block[],
+    pool: BuddyPool,
+  ): void {
+    binding.blocks = blocks;
+    for (const block of blocks) {
+      this.sites.bind(block);
+      pool.setTaken(block.worker, pool.takenMask(block.worker) | block.mask);
+    }
+  }
+
+  private unbind(binding: Binding): void {
+    for (const block of binding.blocks) this.sites.unbind(block);
+    binding.blocks = [];
+  }
+
+  private pin(fixed: FixedWork): void {
+    for (const {site} of this.sites.allSites())
+      this.sites.setPinned(site.id, 0);
+    for (const job of fixed.jobs) this.pinJob(job);
+  }
+}
+
+function sameCell(a: Cell, b: Cell): boolean {
+  return a.kind === 'block'
+    ? b.kind === 'block' && a.size === b.size
+    : b.kind === 'workers' && a.count === b.count;
+}
+
+function groupByWorkspace(
+  bindings: readonly Binding[],
+): Map<string, Binding[]> {
+  const groups = new Map<string, Binding[]>();
+  for (const binding of bindings) {
+    const group = groups.get(binding.workspace);
+    if (group) group.push(binding);
+    else groups.set(binding.workspace, [binding]);
+  }
+  return groups;
+}
--- /dev/null
+++ b/src/planning/guarantee_planner.ts
@@ -0,0 +1,564 @@
+/** Plans one pool: order, placement, reclaim of guarantees, reservations and quarantine. */
+import {type Pool} from '../core/tables.js';
+import {
+  type Block,
+  BuddyPool,
+  type WorkerSite,
+  bitCount,
+} from './buddy_pool.js';
+import {cellsOf, signatureOf, totalSize} from './cells.js';
+import {DrainReservations} from './drain_reservations.js';
+import {GuaranteeLayout} from './guarantee_layout.js';
+import {type Job, JobPhase, type JobSpec} from './job.js';
+import {JobQueue, type Lane} from './job_queue.js';
+import {type Placement, PlacementSearch} from './placement_search.js';
+import {
+  JobEnd,
+  type PlannerEffect,
+  type PlannerInput,
+  type PlannerStatus,
+  PoolPlanner,
+} from './pool_planner.js';
+import {RuntimeEstimator} from './runtime_estimator.js';
+import {SiteMap, findCell} from './site_map.js';
+import {WorkerHealth} from './worker_health.js';
+
+/** Good workers on which a job may fail before it is given up. */
+const MAX_FAILED_WORKERS = 3;
+
+export interface PlannerOptions {
+  /** Accelerators of one worker. */
+  readonly perWorker: number;
+  /** Wait after which a large job gets a reservation, in ms. */
+  readonly starvingAfterMs: number;
+  /** Smallest job that may get a reservation, in accelerators. */
+  readonly largeJobSize: number;
+  /** Most reservations at a time; 0 turns them off. */
+  readonly maxReservations: number;
+  /** Time that a checkpoint takes, in ms. */
+  readonly checkpointMs: number;
+  /** Whether work that can be preempted may use idle guarantees of others. */
+  readonly borrowing: boolean;
+  /** Whether workers that fail everything are quarantined. */
+  readonly quarantine: boolean;
+  /** Whether workspaces are served by share; otherwise by age only. */
+  readonly fairShare: boolean;
+}
+
+export const DEFAULT_PLANNER_OPTIONS: PlannerOptions = {
+  perWorker: 8,
+  starvingAfterMs: 60_000,
+  largeJobSize: 8,
+  maxReservations: 2,
+  checkpointMs: 2_000,
+  borrowing: true,
+  quarantine: true,
+  fairShare: true,
+};
+
+export class GuaranteePlanner extends PoolPlanner {
+  private readonly sites = new SiteMap();
+  private readonly estimator = new RuntimeEstimator();
+  private readonly health = new WorkerHealth();
+  private readonly queue = new JobQueue();
+  private readonly jobs = new Map<string, Job>();
+  /** Jobs that wait for a victim to stop, by victim. */
+  private readonly waitingFor = new Map<string, Set<Job>>();
+  private readonly usedByWorkspace = new Map<string, number>();
+  private readonly guaranteedTo = new Map<string, number>();
+  private readonly limits = new Map<string, number>();
+  private readonly layout: GuaranteeLayout;
+  private readonly drains: DrainReservations;
+  private readonly search: PlacementSearch;
+  private pool: Pool | undefined;
+  private inventoryKnown = false;
+  private capacityVersion = 0;
+  private effects: PlannerEffect[] = [];
+  private nowMs = 0;
+
+  constructor(
+    private readonly options: PlannerOptions = DEFAULT_PLANNER_OPTIONS,
+  ) {
+    super();
+    this.layout = new GuaranteeLayout(this.sites, options.perWorker);
+    this.drains = new DrainReservations(this.sites, this.estimator);
+    this.search = new PlacementSearch(
+      this.sites,
+      this.layout,
+      this.drains,
+      options,
+    );
+  }
+
+  handle(input: PlannerInput, nowMs: number): PlannerEffect[] {
+    this.nowMs = nowMs;
+    this.effects = [];
+    this.apply(input);
+    this.schedule();
+    return this.effects;
+  }
+
+  status(): PlannerStatus {
+    const {usable, occupied} = this.sites.usage();
+    const holding = [...this.jobs.values()].filter(
+      j => j.phase !== JobPhase.QUEUED,
+    );
+    return {
+      usableAccelerators: usable,
+      occupiedAccelerators: occupied,
+      queued: this.queue.size,
+      running: holding.length,
+      reservedForLargeJobs: this.drains.count,
+      unmetGuarantees: this.layout.unmet(),
+      quarantinedWorkers: this.health.quarantined(),
+    };
+  }
+
+  /** Lists every broken invariant; empty when all hold. Meant for tests. */
+  audit(): string[] {
+    return auditPlan(this.jobs.values(), this.layout.all());
+  }
+
+  private apply(input: PlannerInput): void {
+    switch (input.type) {
+      case 'configure':
+        return this.onConfigure(input.pool);
+      case 'workerUp':
+        return this.onWorkerUp(input.site);
+      case 'workerDown':
+        return this.onWorkerDown(input.worker);
+      case 'workerLeaving':
+        return this.onWorkerLeaving(input.worker);
+      case 'inventoryKnown':
+        this.inventoryKnown = true;
+        return this.rejectImpossible();
+      case 'submit':
+        return this.onSubmit(input.job);
+      case 'adopt':
+        return this.onAdopt(input);
+      case 'cancel':
+        return this.onCancel(input.job, input.reason);
+      case 'ended':
+        return this.onEnded(input);
+      case 'tick':
+        return this.onTick();
+    }
+  }
+
+  // Pool and workers.
+
+  private onConfigure(pool: Pool): void {
+    this.pool = pool;
+    this.limits.clear();
+    this.guaranteedTo.clear();
+    for (const share of pool.workspaces) {
+      if (share.limit !== undefined) this.limits.set(share.name, share.limit);
+      const cells = cellsOf(share.guarantee, this.options.perWorker);
+      this.guaranteedTo.set(
+        share.name,
+        totalSize(cells, this.options.perWorker),
+      );
+    }
+    this.drains.releaseAll();
+    this.layout.configure(pool, this.jobs.values());
+    this.capacityVersion++;
+    this.rejectImpossible();
+  }
+
+  private onWorkerUp(site: WorkerSite): void {
+    const known = this.sites.siteOf(site.id);
+    if (
+      known &&
+      (known.rack !== site.rack || known.accelerators !== site.accelerators)
+    )
+      this.sites.remove(site.id);
+    this.sites.setUsable(site, !this.health.isQuarantined(site.id));
+    this.onMoreCapacity();
+  }
+
+  private onWorkerDown(worker: string): void {
+    const site = this.sites.siteOf(worker);
+    if (!site) return;
+    this.stopUsing(site);
+    for (const job of [...this.jobs.values()]) {
+      if (job.blocks.some(b => b.worker === worker)) this.evict(job);
+    }
+  }
+
+  private onWorkerLeaving(worker: string): void {
+    const site = this.sites.siteOf(worker);
+    if (site) this.stopUsing(site);
+  }
+
+  /** Takes a worker out of use and finds other places for the guarantees that it held. */
+  private stopUsing(site: WorkerSite): void {
+    this.drains.releaseAll();
+    this.layout.unbindWorker(site.id);
+    this.sites.setUsable(site, false);
+    this.layout.bindMissing(this.jobs.values());
+    if (this.layout.hasUnmet) this.layout.rebuild(this.jobs.values());
+    this.capacityVersion++;
+  }
+
+  private evict(job: Job): void {
+    if (job.phase === JobPhase.CLAIMING) return this.requeue(job);
+    this.stop(job, false);
+  }
+
+  private onMoreCapacity(): void {
+    this.capacityVersion++;
+    if (!this.layout.hasUnmet) return;
+    this.drains.releaseAll();
+    this.layout.bindMissing(this.jobs.values());
+  }
+
+  // Jobs.
+
+  private onSubmit(spec: JobSpec): void {
+    if (this.jobs.has(spec.id)) return;
+    const job = this.newJob(spec);
+    this.jobs.set(spec.id, job);
+    const reason = this.reasonNeverFits(job);
+    if (reason) return this.reject(job, reason, true);
+    this.queue.push(job);
+  }
+
+  private onAdopt(input: Extract<PlannerInput, {type: 'adopt'}>): void {
+    for (const site of input.sites) {
+      if (!this.sites.has(site.id)) this.sites.setUsable(site, true);
+    }
+    const job = this.newJob(input.job);
+    this.jobs.set(input.job.id, job);
+    job.blocks = input.blocks;
+    for (const block of job.blocks) this.sites.take(block, job);
+    job.phase = JobPhase.RUNNING;
+    job.startedMs = this.nowMs;
+    this.countUse(job, 1);
+    this.drains.releaseAll();
+    this.layout.rebuild(this.jobs.values());
+  }
+
+  private onCancel(id: string, reason: string): void {
+    const job = this.jobs.get(id);
+    if (!job) return;
+    job.removed = true;
+    switch (job.phase) {
+      case JobPhase.QUEUED:
+        return this.reject(job, reason, false);
+      case JobPhase.CLAIMING:
+        this.release(job);
+        return this.reject(job, reason, false);
+      default:
+        return this.stop(job, false);
+    }
+  }
+
+  private onEnded(input: Extract<PlannerInput, {type: 'ended'}>): void {
+    const job = this.jobs.get(input.job);
+    if (!job || job.phase === JobPhase.QUEUED) return;
+    this.noteHealth(job, input);
+    if (input.end === JobEnd.DONE)
+      this.estimator.record(job.spec, this.nowMs - job.startedMs);
+    this.release(job);
+    if (input.end === JobEnd.DONE || job.removed) return this.forget(job);
+    if (input.end === JobEnd.FAILED && !this.mayRetry(job, input.retry))
+      return this.fail(job);
+    this.requeue(job);
+  }
+
+  private noteHealth(
+    job: Job,
+    input: Extract<PlannerInput, {type: 'ended'}>,
+  ): void {
+    const workers = new Set(job.blocks.map(b => b.worker));
+    if (input.end === JobEnd.DONE)
+      for (const worker of workers) this.health.recordSuccess(worker);
+    if (input.end !== JobEnd.FAILED) return;
+    for (const worker of input.failedWorkers) {
+      const newlyBad = this.health.recordFailure(
+        worker,
+        job.spec.id,
+        this.nowMs,
+      );
+      if (!this.health.isQuarantined(worker)) job.failedOn.add(worker);
+      if (newlyBad && this.options.quarantine) this.quarantine(worker);
+    }
+  }
+
+  private quarantine(worker: string): void {
+    const site = this.sites.siteOf(worker);
+    if (!site) return;
+    this.effects.push({type: 'quarantine', worker});
+    this.stopUsing(site);
+  }
+
+  private mayRetry(job: Job, retry: boolean): boolean {
+    return retry && job.failedOn.size < MAX_FAILED_WORKERS;
+  }
+
+  private fail(job: Job): void {
+    const workers = [...job.failedOn].join(', ') || 'its worker';
+    this.effects.push({
+      type: 'fail',
+      job: job.spec.id,
+      reason: `it failed on ${workers}`,
+    });
+    this.forget(job);
+  }
+
+  private onTick(): void {
+    for (const worker of this.health.takeReleased(this.nowMs)) {
+      const site = this.sites.siteOf(worker);
+      if (site) this.sites.setUsable(site, true);
+      this.onMoreCapacity();
+    }
+    this.reserveForStarving();
+  }
+
+  // Scheduling.
+
+  private schedule(): void {
+    for (;;) {
+      const lane = this.nextLane();
+      if (!lane) return;
+      const job = lane.jobs[0];
+      const placement = this.isOverLimit(job)
+        ? undefined
+        : this.search.find(job, this.nowMs);
+      if (placement) this.start(job, placement);
+      else lane.failedAtVersion = this.capacityVersion;
+    }
+  }
+
+  /** The first lane in order that has not been tried since capacity last grew. */
+  private nextLane(): Lane | undefined {
+    let untried = false;
+    for (const lane of this.queue.allLanes()) {
+      if (lane.failedAtVersion !== this.capacityVersion) untried = true;
+    }
+    if (!untried) return undefined;
+    const lanes = this.queue.inOrder(w =>
+      this.options.fairShare ? this.usedShare(w) : 0,
+    );
+    return lanes.find(lane => lane.failedAtVersion !== this.capacityVersion);
+  }
+
+  private usedShare(workspace: string): number {
+    const guaranteed = this.guaranteedTo.get(workspace) ?? 0;
+    return (this.usedByWorkspace.get(workspace) ?? 0) / Math.max(1, guaranteed);
+  }
+
+  private isOverLimit(job: Job): boolean {
+    const limit = this.limits.get(job.spec.workspace) ?? Infinity;
+    return (
+      (this.usedByWorkspace.get(job.spec.workspace) ?? 0) + job.size > limit
+    );
+  }
+
+  private start(job: Job, placement: Placement): void {
+    this.queue.remove(job);
+    if (this.drains.has(job.spec.id)) this.drains.release(job.spec.id);
+    job.blocks = placement.blocks;
+    this.layout.pinJob(job);
+    this.countUse(job, 1);
+    if (placement.victims.size === 0) return this.run(job);
+    job.phase = JobPhase.CLAIMING;
+    for (const victim of placement.victims) this.preempt(victim, job);
+  }
+
+  private preempt(victim: Job, claimant: Job): void {
+    claimant.waitsFor.add(victim.spec.id);
+    const waiting = this.waitingFor.get(victim.spec.id) ?? new Set<Job>();
+    waiting.add(claimant);
+    this.waitingFor.set(victim.spec.id, waiting);
+    if (victim.phase === JobPhase.RUNNING)
+      this.stop(victim, victim.spec.checkpointable);
+  }
+
+  private run(job: Job): void {
+    job.phase = JobPhase.RUNNING;
+    job.startedMs = this.nowMs;
+    this.effects.push({type: 'place', job: job.spec.id, blocks: job.blocks});
+  }
+
+  private stop(job: Job, checkpoint: boolean): void {
+    if (job.phase !== JobPhase.RUNNING) return;
+    job.phase = JobPhase.STOPPING;
+    this.effects.push({type: 'stop', job: job.spec.id, checkpoint});
+  }
+
+  /** Gives a job's accelerators back; jobs that waited for them may start. */
+  private release(job: Job): void {
+    this.layout.unpinJob(job);
+    for (const block of job.blocks) this.sites.release(block, job);
+    this.countUse(job, -1);
+    for (const victim of job.waitsFor) this.waitingFor.get(victim)?.delete(job);
+    job.waitsFor.clear();
+    const waiting = this.waitingFor.get(job.spec.id) ?? [];
+    this.waitingFor.delete(job.spec.id);
+    for (const claimant of waiting) {
+      claimant.waitsFor.delete(job.spec.id);
+      if (claimant.waitsFor.size === 0) this.run(claimant);
+    }
+    this.onMoreCapacity();
+  }
+
+  private requeue(job: Job): void {
+    if (job.phase === JobPhase.CLAIMING) this.release(job);
+    job.phase = JobPhase.QUEUED;
+    job.blocks = [];
+    this.queue.push(job);
+  }
+
+  private reject(job: Job, reason: string, permanent: boolean): void {
+    this.queue.remove(job);
+    this.effects.push({type: 'reject', job: job.spec.id, reason, permanent});
+    this.forget(job);
+  }
+
+  private forget(job: Job): void {
+    this.drains.release(job.spec.id);
+    this.jobs.delete(job.spec.id);
+  }
+
+  private countUse(job: Job, sign: 1 | -1): void {
+    const used =
+      (this.usedByWorkspace.get(job.spec.workspace) ?? 0) + sign * job.size;
+    this.usedByWorkspace.set(job.spec.workspace, used);
+  }
+
+  // Large jobs that wait too long.
+
+  private reserveForStarving(): void {
+    if (this.layout.hasUnmet) return;
+    for (const lane of this.queue.allLanes()) {
+      if (this.drains.count >= this.options.maxReservations) return;
+      const job = lane.jobs[0];
+      if (this.isStarving(job) && this.drains.reserve(job, this.nowMs))
+        this.capacityVersion++;
+    }
+  }
+
+  private isStarving(job: Job): boolean {
+    if (job.size < this.options.largeJobSize || this.drains.has(job.spec.id))
+      return false;
+    return (
+      this.nowMs - job.spec.acceptedMs > this.options.starvingAfterMs &&
+      !this.isOverLimit(job)
+    );
+  }
+
+  // Jobs that can never run.
+
+  private rejectImpossible(): void {
+    const waiting = [...this.queue.allLanes()].map(lane => [...lane.jobs]);
+    for (const jobs of waiting) {
+      const reason = this.reasonNeverFits(jobs[0]);
+      if (!reason) continue;
+      for (const job of jobs) this.reject(job, reason, true);
+    }
+  }
+
+  private reasonNeverFits(job: Job): string | undefined {
+    if (!this.pool) return undefined;
+    const {workspace} = job.spec;
+    const share = this.pool.workspaces.find(w => w.name === workspace);
+    if (!share)
+      return `workspace "${workspace}" has no share of pool "${this.pool.name}"; ask an operator to add one`;
+    if (share.limit !== undefined && job.size > share.limit) {
+      return `it needs ${job.size} accelerators and workspace "${workspace}" may use ${share.limit} of pool "${this.pool.name}"; ask for fewer or have the limit raised`;
+    }
+    if (!this.inventoryKnown || this.layout.hasUnmet || this.fitsWhenEmpty(job))
+      return undefined;
+    return `it needs cells that pool "${this.pool.name}" does not have for workspace "${workspace}" even when it is idle; ask for a smaller shape`;
+  }
+
+  /** Tries the job in a pool without any work, apart from the guarantees of others. */
+  private fitsWhenEmpty(job: Job): boolean {
+    const empty = new BuddyPool();
+    for (const {site} of this.sites.allSites()) {
+      empty.add(site, false);
+      const own = this.layout.boundTo(job.spec.workspace, site.id);
+      if (!job.spec.preemptible)
+        empty.setTaken(site.id, this.sites.boundMask(site.id) & ~own);
+    }
+    return job.cells.every(cell => {
+      const blocks = findCell(empty, cell);
+      for (const {worker, mask} of blocks ?? [])
+        empty.setTaken(worker, empty.takenMask(worker) | mask);
+      return blocks !== undefined;
+    });
+  }
+
+  private newJob(spec: JobSpec): Job {
+    const cells = cellsOf(spec.shape, this.options.perWorker);
+    const lane = [
+      spec.workspace,
+      spec.class,
+      spec.preemptible,
+      signatureOf(cells),
+    ].join('/');
+    return {
+      spec,
+      cells,
+      size: totalSize(cells, this.options.perWorker),
+      lane,
+      phase: JobPhase.QUEUED,
+      blocks: [],
+      startedMs: 0,
+      waitsFor: new Set(),
+      failedOn: new Set(),
+      removed: false,
+    };
+  }
+}
+
+/** Checks that cells are disjoint and that bound cells hold no fixed work of others. */
+function auditPlan(
+  jobs: Iterable<Job>,
+  bindings: Iterable<{
+    readonly workspace: string;
+    readonly blocks: readonly Block[];
+  }>,
+): string[] {
+  const faults: string[] = [];
+  const holder = new Map<string, string>();
+  const bound = new Map<string, string>();
+  const eachAccelerator = (
+    blocks: readonly Block[],
+    visit: (key: string) => void,
+  ) => {
+    for (const {worker, mask} of blocks)
+      for (let i = 0; i < 32; i++)
+        if ((mask >>> i) & 1) visit(`${worker}/${i}`);
+  };
+  for (const {workspace, blocks} of bindings) {
+    eachAccelerator(blocks, key => {
+      if (bound.has(key)) faults.push(`${key} is bound to two guarantees`);
+      bound.set(key, workspace);
+    });
+  }
+  for (const job of jobs) {
+    if (job.phase === JobPhase.QUEUED || job.phase === JobPhase.CLAIMING)
+      continue;
+    const held = job.blocks.reduce((sum, b) => sum + bitCount(b.mask), 0);
+    if (held !== job.size)
+      faults.push(`${job.spec.id} holds ${held} of ${job.size} accelerators`);
+    eachAccelerator(job.blocks, key => {
+      if (holder.has(key))
+        faults.push(`${key} is held by ${holder.get(key)} and ${job.spec.id}`);
+      holder.set(key, job.spec.id);
+      const owner = bound.get(key);
+      if (
+        !job.spec.preemptible &&
+        owner !== undefined &&
+        owner !== job.spec.workspace
+      ) {
+        faults.push(
+          `${key} is bound to ${owner} and held by fixed work of ${job.spec.workspace}`,
+        );
+      }
+    });
+  }
+  return faults;
+}
--- /dev/null
+++ b/src/planning/job_queue.ts
@@ -0,0 +1,78 @@
+/**
+ * Waiting jobs. Jobs of one workspace, class and shape share a lane, since when
+ * the first of a lane can't be placed the others can't either. The work of one
+ * scheduling round grows with the lanes and not with the jobs.
+ */
+import {type Job, classRank} from './job.js';
+
+/** Jobs that are alike for placement, oldest first. */
+export interface Lane {
+  readonly key: string;
+  readonly workspace: string;
+  readonly rank: number;
+  readonly jobs: Job[];
+  /** Capacity version at which the first job could not be placed. */
+  failedAtVersion: number;
+}
+
+export class JobQueue {
+  private readonly lanes = new Map<string, Lane>();
+  private count = 0;
+
+  get size(): number {
+    return this.count;
+  }
+
+  push(job: Job): void {
+    const lane = this.laneOf(job);
+    const at = lane.jobs.findIndex(
+      other => other.spec.acceptedMs > job.spec.acceptedMs,
+    );
+    if (at < 0) lane.jobs.push(job);
+    else lane.jobs.splice(at, 0, job);
+    lane.failedAtVersion = -1;
+    this.count++;
+  }
+
+  remove(job: Job): void {
+    const lane = this.lanes.get(job.lane);
+    const at = lane?.jobs.indexOf(job) ?? -1;
+    if (at < 0) return;
+    lane!.jobs.splice(at, 1);
+    this.count--;
+    if (lane!.jobs.length === 0) this.lanes.delete(job.lane);
+  }
+
+  /** Lanes in the order in which they are served. */
+  inOrder(usedShare: (workspace: string) => number): Lane[] {
+    const shares = new Map<string, number>();
+    for (const {workspace} of this.lanes.values()) {
+      if (!shares.has(workspace)) shares.set(workspace, usedShare(workspace));
+    }
+    return [...this.lanes.values()].sort(
+      (a, b) =>
+        a.rank - b.rank ||
+        shares.get(a.workspace)! - shares.get(b.workspace)! ||
+        a.jobs[0].spec.acceptedMs - b.jobs[0].spec.acceptedMs,
+    );
+  }
+
+  allLanes(): Iterable<Lane> {
+    return this.lanes.values();
+  }
+
+  private laneOf(job: Job): Lane {
+    let lane = this.lanes.get(job.lane);
+    if (!lane) {
+      lane = {
+        key: job.lane,
+        workspace: job.spec.workspace,
+        rank: classRank(job.spec.class),
+        jobs: [],
+        failedAtVersion: -1,
+      };
+      this.lanes.set(job.lane, lane);
+    }
+    return lane;
+  }
+}
--- /dev/null
+++ b/src/planning/site_map.ts
@@ -0,0 +1,205 @@
+/**
+ * What occupies each accelerator of a pool and what it is promised to. Three
+ * buddy pools are kept in step with it:
+ * - `physical`: nothing runs there;
+ * - `uncommitted`: no guarantee is bound there and no work runs that can't be preempted;
+ * - `open`: both.
+ */
+import {
+  type Block,
+  BuddyPool,
+  type Mask,
+  type WorkerSite,
+  bitCount,
+  fullMask,
+  indicesOf,
+} from './buddy_pool.js';
+import {type Cell} from './cells.js';
+import {type Job} from './job.js';
+
+interface SiteState {
+  readonly site: WorkerSite;
+  usable: boolean;
+  /** Holder of each accelerator. */
+  readonly holders: (Job | undefined)[];
+  /** Job that takes an accelerator over when its holder has stopped. */
+  readonly claimants: (Job | undefined)[];
+  occupied: Mask;
+  claimed: Mask;
+  bound: Mask;
+  /** Held by work that can't be preempted, outside the guarantee of its workspace. */
+  pinned: Mask;
+}
+
+export class SiteMap {
+  readonly physical = new BuddyPool();
+  readonly uncommitted = new BuddyPool();
+  readonly open = new BuddyPool();
+  private readonly sites = new Map<string, SiteState>();
+
+  /** Adds a worker or changes whether it may be used. */
+  setUsable(site: WorkerSite, usable: boolean): void {
+    let state = this.sites.get(site.id);
+    if (!state) {
+      state = newSiteState(site);
+      this.sites.set(site.id, state);
+      for (const pool of [this.physical, this.uncommitted, this.open])
+        pool.add(site, true);
+    }
+    state.usable = usable;
+    this.refresh(state);
+  }
+
+  remove(worker: string): void {
+    this.sites.delete(worker);
+    for (const pool of [this.physical, this.uncommitted, this.open])
+      pool.remove(worker);
+  }
+
+  allSites(): Iterable<{readonly site: WorkerSite; readonly usable: boolean}> {
+    return this.sites.values();
+  }
+
+  siteOf(worker: string): WorkerSite | undefined {
+    return this.sites.get(worker)?.site;
+  }
+
+  isUsable(worker: string): boolean {
+    return this.sites.get(worker)?.usable ?? false;
+  }
+
+  has(worker: string): boolean {
+    return this.sites.has(worker);
+  }
+
+  /** Usable accelerators of a worker that no job holds or claims. */
+  freeMask(worker: string): Mask {
+    const state = this.sites.get(worker);
+    if (!state?.usable) return 0;
+    return fullMask(state.site) & ~(state.occupied | state.claimed);
+  }
+
+  claimedMask(worker: string): Mask {
+    return this.sites.get(worker)?.claimed ?? 0;
+  }
+
+  boundMask(worker: string): Mask {
+    return this.sites.get(worker)?.bound ?? 0;
+  }
+
+  /** Jobs that hold some of the accelerators of a block. */
+  holdersIn(block: Block): Set<Job> {
+    const state = this.sites.get(block.worker);
+    const jobs = new Set<Job>();
+    if (!state) return jobs;
+    for (const i of indicesOf(block.mask)) {
+      const job = state.holders[i];
+      if (job) jobs.add(job);
+    }
+    return jobs;
+  }
+
+  /** Gives free accelerators of a block to a job, and claims those that others hold. */
+  take(block: Block, job: Job): void {
+    const state = this.sites.get(block.worker)!;
+    for (const i of indicesOf(block.mask)) {
+      const slots =
+        state.holders[i] && state.holders[i] !== job
+          ? state.claimants
+          : state.holders;
+      slots[i] = job;
+    }
+    this.refresh(state);
+  }
+
+  /** Frees what a job holds and claims; claimants take over what it held. */
+  release(block: Block, job: Job): void {
+    const state = this.sites.get(block.worker);
+    if (!state) return;
+    for (const i of indicesOf(block.mask)) {
+      if (state.claimants[i] === job) state.claimants[i] = undefined;
+      if (state.holders[i] !== job) continue;
+      state.holders[i] = state.claimants[i];
+      state.claimants[i] = undefined;
+    }
+    this.refresh(state);
+  }
+
+  bind(block: Block): void {
+    const state = this.sites.get(block.worker)!;
+    state.bound |= block.mask;
+    this.refresh(state);
+  }
+
+  unbind(block: Block): void {
+    const state = this.sites.get(block.worker);
+    if (!state) return;
+    state.bound &= ~block.mask;
+    this.refresh(state);
+  }
+
+  /** Sets which accelerators of a worker hold pinned work. */
+  setPinned(worker: string, pinned: Mask): void {
+    const state = this.sites.get(worker);
+    if (!state || state.pinned === pinned) return;
+    state.pinned = pinned;
+    this.refresh(state);
+  }
+
+  pinnedMask(worker: string): Mask {
+    return this.sites.get(worker)?.pinned ?? 0;
+  }
+
+  /** Usable accelerators, and those of them that are in use. */
+  usage(): {readonly usable: number; readonly occupied: number} {
+    let usable = 0;
+    let occupied = 0;
+    for (const state of this.sites.values()) {
+      if (!state.usable) continue;
+      usable += state.site.accelerators;
+      occupied += bitCount(state.occupied);
+    }
+    return {usable, occupied};
+  }
+
+  private refresh(state: SiteState): void {
+    state.occupied = maskOf(state.holders);
+    state.claimed = maskOf(state.claimants);
+    const full = fullMask(state.site);
+    const physical = state.usable ? state.occupied | state.claimed : full;
+    const committed = state.usable ? state.bound | state.pinned : full;
+    this.physical.setTaken(state.site.id, physical);
+    this.uncommitted.setTaken(state.site.id, committed);
+    this.open.setTaken(state.site.id, physical | committed);
+  }
+}
+
+/** Finds room for one cell in a buddy pool. */
+export function findCell(
+  pool: BuddyPool,
+  cell: Cell,
+  excluded?: ReadonlySet<string>,
+): Block[] | undefined {
+  if (cell.kind === 'workers') return pool.findWorkers(cell.count, excluded);
+  const block = pool.findBlock(cell.size, excluded);
+  return block && [block];
+}
+
+function newSiteState(site: WorkerSite): SiteState {
+  return {
+    site,
+    usable: false,
+    holders: new Array<Job | undefined>(site.accelerators).fill(undefined),
+    claimants: new Array<Job | undefined>(site.accelerators).fill(undefined),
+    occupied: 0,
+    claimed: 0,
+    bound: 0,
+    pinned: 0,
+  };
+}
+
+function maskOf(slots: readonly (Job | undefined)[]): Mask {
+  let mask = 0;
+  for (let i = 0; i < slots.length; i++) if (slots[i]) mask |= 1 << i;
+  return mask;
+}
--- /dev/null
+++ b/src/platform/backend_server.ts
@@ -0,0 +1,34 @@
+/** A backend server, as its agent calls it. */
+import {type PartKind} from '../core/kernel.js';
+import {type Answer} from '../core/outcome.js';
+import {type RunEnd} from '../core/vocabulary.js';
+
+export interface BackendCall {
+  readonly run: string;
+  readonly kind: string;
+  readonly workspace: string;
+  readonly contentType: string;
+  readonly body: Uint8Array;
+  readonly remainingMs: number;
+}
+
+/** How a call ended; `unreachable` means that no byte was sent. */
+export interface BackendEnd {
+  readonly end: RunEnd | 'unreachable';
+  readonly answer?: Answer;
+}
+
+export abstract class BackendServer {
+  /** Sends one request, once. Never throws. */
+  abstract call(call: BackendCall, signal: AbortSignal): Promise<BackendEnd>;
+  abstract close(): Promise<void>;
+}
+
+export interface BackendServerOptions {
+  readonly address: string;
+  readonly maxAnswerBytes: number;
+}
+
+export const BACKEND_SERVER: PartKind<BackendServer, BackendServerOptions> = {
+  kind: 'backendServer',
+};
--- /dev/null
+++ b/src/platform/worker.ts
@@ -0,0 +1,51 @@
+/** A worker's task interface, as its agent uses it. */
+import {type PartKind} from '../core/kernel.js';
+import {type Answer} from '../core/outcome.js';
+
+export interface TaskSpec {
+  readonly task: string;
+  readonly kind: string;
+  readonly workspace: string;
+  readonly contentType: string;
+  readonly body: Uint8Array;
+  readonly accelerators: readonly number[];
+  readonly rank: number;
+  readonly size: number;
+  /** The worker stops the task unless the lease is renewed in time. */
+  readonly leaseMs: number;
+}
+
+export const TaskState = {
+  RUNNING: 'running',
+  DONE: 'done',
+  FAILED: 'failed',
+  STOPPED: 'stopped',
+  /** The worker does not know the task. */
+  ABSENT: 'absent',
+} as const;
+export type TaskState = (typeof TaskState)[keyof typeof TaskState];
+
+export interface TaskReport {
+  readonly state: TaskState;
+  /** Present when the state is `done`. */
+  readonly answer?: Answer;
+}
+
+export abstract class Worker {
+  /** Starts a task once; a second start of the same task has no effect. */
+  abstract start(spec: TaskSpec): Promise<TaskReport>;
+  /** Renews the lease of a running task. */
+  abstract renew(task: string, leaseMs: number): Promise<TaskReport>;
+  abstract stop(task: string, checkpoint: boolean): Promise<TaskReport>;
+  /** Waits until the task ends, at most `waitMs`. */
+  abstract wait(task: string, waitMs: number): Promise<TaskReport>;
+  /** Stops everything that an earlier life of the agent started. */
+  abstract stopAll(): Promise<void>;
+  abstract close(): Promise<void>;
+}
+
+export interface WorkerOptions {
+  readonly address: string;
+}
+
+export const WORKER: PartKind<Worker, WorkerOptions> = {kind: 'worker'};
--- /dev/null
+++ b/src/plugins/metrics.ts
@@ -0,0 +1,51 @@
+/** Counters and latency histograms of one process. */
+import {type Histogram, build} from 'hdr-histogram-js';
+
+const HIGHEST_MS = 3_600_000;
+const QUANTILES: readonly number[] = [50, 90, 99, 99.9];
+
+export class Metrics {
+  private readonly counters = new Map<string, number>();
+  private readonly histograms = new Map<string, Histogram>();
+
+  /** Adds to a counter. */
+  count(name: string, amount = 1): void {
+    this.counters.set(name, (this.counters.get(name) ?? 0) + amount);
+  }
+
+  /** Records a duration in ms. */
+  observe(name: string, ms: number): void {
+    let histogram = this.histograms.get(name);
+    if (!histogram) {
+      histogram = build({
+        highestTrackableValue: HIGHEST_MS * 1000,
+        numberOfSignificantValueDigits: 2,
+      });
+      this.histograms.set(name, histogram);
+    }
+    histogram.recordValue(
+      Math.min(HIGHEST_MS * 1000, Math.max(1, Math.round(ms * 1000))),
+    );
+  }
+
+  /** All values in the Prometheus text format; durations in ms. */
+  format(): string {
+    const lines: string[] = [];
+    for (const [name, value] of this.counters)
+      lines.push(`lagoonshunt_${name} ${value}`);
+    for (const [name, histogram] of this.histograms) {
+      for (const quantile of QUANTILES) {
+        const ms = histogram.getValueAtPercentile(quantile) / 1000;
+        lines.push(
+          `lagoonshunt_${name}_ms{quantile="${quantile / 100}"} ${ms}`,
+        );
+      }
+      lines.push(`lagoonshunt_${name}_ms_count ${histogram.totalCount}`);
+    }
+    const {rss} = process.memoryUsage();
+    const {user, system} = process.cpuUsage();
+    lines.push(`lagoonshunt_process_resident_bytes ${rss}`);
+    lines.push(`lagoonshunt_process_cpu_ms ${(user + system) / 1000}`);
+    return `${lines.join('\n')}\n`;
+  }
+}
--- /dev/null
+++ b/standins/main.ts
@@ -0,0 +1,62 @@
+/** Runs one stand-in as a process. */
+import {type AddressInfo} from 'node:net';
+import {Command} from 'commander';
+import {type FastifyInstance} from 'fastify';
+import {makeBackendServer} from './backend_server.js';
+import {makeTableService} from './table_service.js';
+import {makeWorker} from './worker.js';
+
+interface PortOption {
+  readonly port: string;
+}
+
+const program = new Command('standins').description(
+  'Stand-ins of the platform, for tests and the demo.',
+);
+program
+  .command('table')
+  .option('--port <port>', 'port to listen on', '0')
+  .action((o: PortOption) => listen('table', makeTableService(), o));
+program
+  .command('worker')
+  .option('--port <port>', 'port to listen on', '0')
+  .action((o: PortOption) => listen('worker', makeWorker(), o));
+program
+  .command('backend')
+  .option('--port <port>', 'port to listen on', '0')
+  .requiredOption('--service <name>', 'service that it offers')
+  .requiredOption('--slots <count>', 'requests that it runs at once')
+  .requiredOption('--agent <url>', 'where its agent takes announcements')
+  .option('--announce-ms <ms>', 'time between announcements', '1000')
+  .action(
+    (
+      o: PortOption & {
+        service: string;
+        slots: string;
+        agent: string;
+        announceMs: string;
+      },
+    ) =>
+      listen(
+        'backend',
+        makeBackendServer({
+          service: o.service,
+          slots: Number(o.slots),
+          agent: o.agent,
+          announceMs: Number(o.announceMs),
+        }),
+        o,
+      ),
+  );
+
+async function listen(
+  name: string,
+  http: FastifyInstance,
+  options: PortOption,
+): Promise<void> {
+  await http.listen({host: '127.0.0.1', port: Number(options.port)});
+  const {port} = http.server.address() as AddressInfo;
+  console.log(JSON.stringify({ready: name, http: `http://127.0.0.1:${port}`}));
+}
+
+await program.parseAsync();
