Failure scenarios over real processes; layout of guarantees repaired

Two sent another payload under the same key (a fault of the test: the same send now has one body). Two showed a fault: guarantees were bound in the order in which workers came up, so small cells stood where a rack cell was owed. Ruled out: lost start orders (the time line shows no reservation at all). Change: while a guarantee has no place, all are laid out afresh, largest first, when a worker comes up and once a second.

--- a/src/daemons/router_task.ts
+++ b/src/daemons/router_task.ts
@@ -84,6 +84,11 @@
           body: message.body,
           acceptedMs: this.ctx.clock.nowMs(),
         });
+        this.ctx.timeline.add(
+          'router',
+          `accepted ${message.input.kind}`,
+          message.input.req,
+        );
         return this.run(message.input);
       case 'cancel':
       case 'claimReply':
--- a/src/planning/guarantee_planner.ts
+++ b/src/planning/guarantee_planner.ts
@@ -25,6 +25,8 @@
 
 /** Good workers on which a job may fail before it is given up. */
 const MAX_FAILED_WORKERS = 3;
+/** Interval at which guarantees without a place are laid out afresh. */
+const REPAIR_INTERVAL_MS = 1000;
 
 export interface PlannerOptions {
   /** Accelerators of one worker. */
@@ -73,6 +75,7 @@
   private pool: Pool | undefined;
   private inventoryKnown = false;
   private capacityVersion = 0;
+  private lastRepairMs = 0;
   private effects: PlannerEffect[] = [];
   private nowMs = 0;
 
@@ -174,6 +177,7 @@
       this.sites.remove(site.id);
     this.sites.setUsable(site, !this.health.isQuarantined(site.id));
     this.onMoreCapacity();
+    this.repairLayout();
   }
 
   private onWorkerDown(worker: string): void {
@@ -196,7 +200,7 @@
     this.layout.unbindWorker(site.id);
     this.sites.setUsable(site, false);
     this.layout.bindMissing(this.jobs.values());
-    if (this.layout.hasUnmet) this.layout.rebuild(this.jobs.values());
+    this.repairLayout();
     this.capacityVersion++;
   }
 
@@ -212,6 +216,14 @@
     this.layout.bindMissing(this.jobs.values());
   }
 
+  /** Lays all guarantees out afresh: small cells may stand where a large one needs room. */
+  private repairLayout(): void {
+    if (!this.layout.hasUnmet) return;
+    this.lastRepairMs = this.nowMs;
+    this.drains.releaseAll();
+    this.layout.rebuild(this.jobs.values());
+  }
+
   // Jobs.
 
   private onSubmit(spec: JobSpec): void {
@@ -312,6 +324,9 @@
       if (site) this.sites.setUsable(site, true);
       this.onMoreCapacity();
     }
+    if (this.nowMs - this.lastRepairMs >= REPAIR_INTERVAL_MS) {
+      this.repairLayout();
+    }
     this.reserveForStarving();
   }
 
--- /dev/null
+++ b/tests/steps/failure_steps.ts
@@ -0,0 +1,629 @@
+/** Steps of the scenarios over real processes. */
+import assert from 'node:assert/strict';
+import {
+  After,
+  Given,
+  Then,
+  When,
+  setDefaultTimeout,
+  setWorldConstructor,
+} from '@cucumber/cucumber';
+import {cancel, isOwnAnswer, lookUp} from '../../harness/caller.js';
+import {type Instance} from '../../harness/cluster.js';
+import {type ManagedProcess} from '../../harness/managed_process.js';
+import {sleep, waitUntil} from '../../harness/wait.js';
+import {Relay} from '../fixtures/relay.js';
+import {SystemWorld, postJson} from '../fixtures/system_world.js';
+
+const STEP_TIMEOUT_MS = 60_000;
+const EVENT_TIMEOUT_MS = 30_000;
+const FIT = 'chime-fit';
+const CHECK = 'pitch-check';
+const SWEEP = 'modal-sweep';
+const CERTIFICATE = 'gong-certificate';
+const STUDY = 'alloy-study';
+const FIT_ID = 'the-fit';
+/** The same send each time, so that the key finds the same payload. */
+const THE_FIT = {
+  kind: FIT,
+  key: 'the-key',
+  id: FIT_ID,
+  body: {runMs: 1500},
+};
+
+setDefaultTimeout(STEP_TIMEOUT_MS);
+setWorldConstructor(SystemWorld);
+
+After(async function (this: SystemWorld) {
+  await this.close();
+});
+
+Given(
+  'a system of {int} gates and {int} instances',
+  async function (this: SystemWorld, gates: number, instances: number) {
+    await this.start(gates, instances);
+  },
+);
+
+Given(
+  'a system of {int} gates and {int} instances behind relays',
+  async function (this: SystemWorld, gates: number, instances: number) {
+    const relays: Promise<Relay>[] = [];
+    let addresses: string[] = [];
+    // Agents learn the gates' own addresses, so only one link is allowed: that through the relay.
+    const agentOverrides = {gateLinks: 1};
+    await this.start(gates, 0);
+    for (const gate of this.cluster.gates) relays.push(Relay.to(gate.link!));
+    this.relays.push(...(await Promise.all(relays)));
+    addresses = this.relays.map(r => r.address);
+    Object.assign(this.cluster.options, {
+      agentOverrides: {
+        ...this.cluster.options.agentOverrides,
+        ...agentOverrides,
+      },
+      seedGates: () => addresses,
+    });
+    for (let i = 0; i < instances; i++)
+      this.cluster.instances.push(await this.cluster.startInstance(i));
+    await waitUntil(
+      'the agents serve',
+      EVENT_TIMEOUT_MS,
+      async () =>
+        (await this.status()).agents.filter(
+          a => a.announcement.state === 'serving',
+        ).length === instances,
+    );
+  },
+);
+
+// Requests.
+
+When(
+  'a fit with a key runs through gate {int}',
+  async function (this: SystemWorld, gate: number) {
+    this.pending.push(
+      this.send({...THE_FIT, gate: this.cluster.gates[gate - 1]}),
+    );
+    await waitUntil(
+      'the fit runs',
+      EVENT_TIMEOUT_MS,
+      async () => (await this.runsOfRequest(FIT_ID)).length > 0,
+    );
+  },
+);
+
+When('a pitch check runs', async function (this: SystemWorld) {
+  this.pending.push(this.send({kind: CHECK, id: FIT_ID, body: {runMs: 1500}}));
+  await waitUntil(
+    'the check runs',
+    EVENT_TIMEOUT_MS,
+    async () => (await this.runsOfRequest(FIT_ID)).length > 0,
+  );
+});
+
+When('a fit with a key is sent', async function (this: SystemWorld) {
+  const sent = this.send(THE_FIT);
+  this.pending.push(sent);
+  await Promise.race([sent, sleep(500)]);
+});
+
+When('a fit without a key is sent', async function (this: SystemWorld) {
+  this.pending.push(this.send({kind: FIT, id: FIT_ID, body: {runMs: 50}}));
+  await sleep(100);
+});
+
+When(
+  'the same fit is sent again through gate {int}',
+  async function (this: SystemWorld, gate: number) {
+    await this.settleAll();
+    await this.send({...THE_FIT, gate: this.cluster.gates[gate - 1]});
+  },
+);
+
+When(
+  '{int} pitch checks of {int} ms are under way',
+  async function (this: SystemWorld, count: number, runMs: number) {
+    this.sendMany(count, {kind: CHECK, body: {runMs}});
+    await sleep(300);
+  },
+);
+
+When(
+  '{int} fits of {int} ms are under way',
+  async function (this: SystemWorld, count: number, runMs: number) {
+    this.sendMany(count, {kind: FIT, key: 'fit', body: {runMs}});
+    await sleep(300);
+  },
+);
+
+When(
+  'callers send pitch checks and fits for {int} seconds',
+  function (this: SystemWorld, seconds: number) {
+    const loop = async (kind: string, key?: string) => {
+      const end = performance.now() + seconds * 1000;
+      for (let i = 0; performance.now() < end; i++)
+        await this.send({kind, key: key && `${key}-${i}`, body: {runMs: 60}});
+    };
+    for (let i = 0; i < 4; i++)
+      this.pending.push(loop(CHECK), loop(FIT, `load-${i}`));
+  },
+);
+
+When('a sweep is sent', async function (this: SystemWorld) {
+  await this.send({kind: SWEEP, body: {runMs: 100}});
+});
+
+When(
+  'a sweep of {int} ms runs',
+  async function (this: SystemWorld, runMs: number) {
+    this.pending.push(this.send({kind: SWEEP, body: {runMs}}));
+    await waitUntil(
+      'both members run',
+      EVENT_TIMEOUT_MS,
+      async () => (await this.taskRuns()).runs.length === 2,
+    );
+  },
+);
+
+When(
+  'a certificate of {int} ms runs',
+  async function (this: SystemWorld, runMs: number) {
+    const accepted = await this.send({
+      kind: CERTIFICATE,
+      body: {runMs},
+      waitMs: 0,
+    });
+    assert.equal(accepted.result.outcome, 'pending');
+    await waitUntil(
+      'it runs',
+      EVENT_TIMEOUT_MS,
+      async () => (await this.taskRuns()).runs.length === 1,
+    );
+  },
+);
+
+When(
+  '{int} studies of {int} ms are sent',
+  async function (this: SystemWorld, count: number, runMs: number) {
+    this.sendMany(count, {kind: STUDY, body: {runMs}});
+    await this.settleAll();
+  },
+);
+
+When('all of them are cancelled', async function (this: SystemWorld) {
+  const ids = (
+    await Promise.all(this.cluster.gates.map(gate => pendingIds(this, gate)))
+  ).flat();
+  assert.ok(ids.length > 0, 'the time line names no request');
+  await Promise.all(
+    ids.map(id => cancel(this.cluster.gates[0].http, this.token, id)),
+  );
+});
+
+/** Ids of the fits, from the acceptance events of a gate's time line. */
+async function pendingIds(
+  world: SystemWorld,
+  gate: ManagedProcess,
+): Promise<string[]> {
+  const {json} = await world.cluster.operator(
+    'GET',
+    '/v1/timeline?limit=2000&local=1',
+    undefined,
+    undefined,
+    gate,
+  );
+  const {events} = json as {events: {event: string; subject?: string}[]};
+  return events
+    .filter(e => e.event.startsWith('accepted'))
+    .map(e => e.subject!);
+}
+
+// Faults.
+
+When('gate {int} is killed', async function (this: SystemWorld, gate: number) {
+  await this.cluster.gates[gate - 1].kill();
+});
+
+When(
+  'the agent that has it is killed and started again',
+  async function (this: SystemWorld) {
+    const instance = await this.instanceRunning(FIT_ID);
+    await restartAgent(this, instance!);
+  },
+);
+
+When(
+  'the only agent is killed and started again',
+  async function (this: SystemWorld) {
+    await restartAgent(this, this.cluster.instances[0]);
+  },
+);
+
+When('the only agent is paused', async function (this: SystemWorld) {
+  this.cluster.instances[0].agent.signal('SIGSTOP');
+});
+
+When(
+  'the only agent goes on after {int} ms',
+  async function (this: SystemWorld, ms: number) {
+    await sleep(ms);
+    this.cluster.instances[0].agent.signal('SIGCONT');
+  },
+);
+
+When('all connections go silent', function (this: SystemWorld) {
+  for (const relay of this.relays) relay.silence();
+});
+
+When('the table service goes down', async function (this: SystemWorld) {
+  await this.setFaults(this.cluster.table, {down: true});
+});
+
+When('the table service comes back', async function (this: SystemWorld) {
+  await this.setFaults(this.cluster.table, {down: false});
+  await sleep(500);
+});
+
+When(
+  'the table service loses its next {int} answers',
+  async function (this: SystemWorld, count: number) {
+    await this.setFaults(this.cluster.table, {loseAnswers: count});
+  },
+);
+
+When(
+  'the table service takes {int} ms for each answer',
+  async function (this: SystemWorld, ms: number) {
+    await this.setFaults(this.cluster.table, {slowMs: ms});
+  },
+);
+
+When(
+  'a gate is started while the table service is down',
+  async function (this: SystemWorld) {
+    this.cluster.gates.push(
+      await this.cluster.startGate(this.cluster.gates.length),
+    );
+    const {link} = this.cluster.gates.at(-1)!;
+    // Its agents are told of the gate as they are started: the rows of gates can't be read.
+    Object.assign(this.cluster.options, {seedGates: () => [link]});
+    await restartAgent(this, this.cluster.instances[0], [
+      link!,
+      ...this.cluster.gates.map(g => g.link!),
+    ]);
+  },
+);
+
+When(
+  'a backend server starts to leave after {int} second',
+  async function (this: SystemWorld, seconds: number) {
+    await sleep(seconds * 1000);
+    const {leftWallMs} = (await postJson(
+      `${this.cluster.instances[0].backend.http}/leave`,
+      {},
+    )) as {leftWallMs: number};
+    this.marks.set('left', leftWallMs);
+  },
+);
+
+When(
+  'gate {int} and an agent are asked to stop after {int} second',
+  async function (this: SystemWorld, gate: number, seconds: number) {
+    await sleep(seconds * 1000);
+    const codes = await Promise.all([
+      this.cluster.gates[gate - 1].stop(),
+      this.cluster.instances[0].agent.stop(),
+    ]);
+    this.marks.set('codes', codes.filter(code => code !== 0).length);
+  },
+);
+
+When(
+  'the agent of one member is killed and started again',
+  async function (this: SystemWorld) {
+    const [{instance}] = (await this.taskRuns()).runs;
+    await restartAgent(this, this.cluster.instances[instance]);
+  },
+);
+
+When(
+  'the agent of one member is paused for {int} ms',
+  async function (this: SystemWorld, ms: number) {
+    const [{instance}] = (await this.taskRuns()).runs;
+    const {agent} = this.cluster.instances[instance];
+    agent.signal('SIGSTOP');
+    await sleep(ms);
+    agent.signal('SIGCONT');
+  },
+);
+
+When('the owner of the pool is killed', async function (this: SystemWorld) {
+  const {owner} = (await this.status()).pools[0];
+  await this.cluster.gates.find(g => g.name === owner)!.kill();
+});
+
+When(
+  'the worker of instance {int} fails everything',
+  async function (this: SystemWorld, instance: number) {
+    await this.setFaults(this.cluster.instances[instance - 1].worker, {
+      failAll: true,
+    });
+  },
+);
+
+When(
+  '{int} operators send an edit made on the same version',
+  async function (this: SystemWorld, count: number) {
+    const {json, headers} = await this.cluster.operator(
+      'GET',
+      '/v1/tables/routes',
+    );
+    const {routes} = json as {routes: object[]};
+    this.marks.set('version', Number(String(headers.etag).replaceAll('"', '')));
+    const edits = Array.from({length: count}, (unused, i) => {
+      const body = {routes: [...routes, {...routes[0], kind: `edit-${i}`}]};
+      return this.cluster.operator(
+        'PUT',
+        '/v1/tables/routes',
+        body,
+        String(headers.etag),
+        this.cluster.gates[i % 2],
+      );
+    });
+    const statuses = (await Promise.all(edits)).map(r => r.status);
+    this.marks.set('accepted', statuses.filter(s => s === 200).length);
+    this.marks.set('refused', statuses.filter(s => s === 412).length);
+    this.marks.set('edits', count);
+    this.marks.set('editedMs', performance.now());
+  },
+);
+
+async function restartAgent(
+  world: SystemWorld,
+  instance: Instance,
+  seeds?: string[],
+): Promise<void> {
+  const index = world.cluster.instances.indexOf(instance);
+  const port = Number(new URL(instance.agent.http).port);
+  await instance.agent.kill();
+  if (seeds) Object.assign(world.cluster.options, {seedGates: () => seeds});
+  instance.agent = await world.cluster.startAgent(index, instance.worker, port);
+}
+
+// Outcomes.
+
+Then(
+  'the last caller is told {string}',
+  async function (this: SystemWorld, outcome: string) {
+    await this.settleAll();
+    const {result} = this.told.at(-1)!;
+    assert.equal(result.outcome, outcome, result.text);
+  },
+);
+
+Then(
+  'the first caller is told {string}',
+  async function (this: SystemWorld, outcome: string) {
+    await this.settleAll();
+    const {result} = this.told[0];
+    assert.equal(result.outcome, outcome, result.text);
+  },
+);
+
+Then(
+  'the last caller is told {string} with its own answer',
+  async function (this: SystemWorld, outcome: string) {
+    await this.settleAll();
+    const {asked, result} = this.told.at(-1)!;
+    assert.equal(result.outcome, outcome, result.text);
+    assert.ok(isOwnAnswer(result, asked), result.text);
+  },
+);
+
+Then(
+  'the first caller is told {string} with its own answer',
+  async function (this: SystemWorld, outcome: string) {
+    await this.settleAll();
+    const {asked, result} = this.told[0];
+    assert.equal(result.outcome, outcome, result.text);
+    assert.ok(isOwnAnswer(result, asked), result.text);
+  },
+);
+
+Then(
+  'every caller is told {string} with its own answer',
+  async function (this: SystemWorld, outcome: string) {
+    await this.settleAll();
+    assert.ok(this.told.length > 0);
+    for (const {asked, result} of this.told) {
+      assert.equal(
+        result.outcome,
+        outcome,
+        `${asked}: ${result.status} ${result.text}`,
+      );
+      assert.ok(isOwnAnswer(result, asked), `${asked}: ${result.text}`);
+    }
+  },
+);
+
+Then(
+  'every caller is told one of {string}',
+  async function (this: SystemWorld, outcomes: string) {
+    await this.settleAll();
+    for (const {asked, result} of this.told)
+      assert.ok(
+        outcomes.split(', ').includes(result.outcome),
+        `${asked}: ${result.outcome} ${result.text}`,
+      );
+  },
+);
+
+Then(
+  'a caller that asks the other gate is told {string}',
+  async function (this: SystemWorld, outcome: string) {
+    const {asked, result} = this.told[0];
+    const found = await lookUp(
+      this.runningGates[0].http,
+      this.token,
+      result.id!,
+      40_000,
+    );
+    assert.equal(found.outcome, outcome, found.text);
+    assert.ok(isOwnAnswer(found, asked), found.text);
+  },
+);
+
+Then('nothing that was told not_run ran', async function (this: SystemWorld) {
+  assert.deepEqual(await this.brokenPromises(), []);
+});
+
+Then(
+  'at least {int} of them were not run',
+  function (this: SystemWorld, count: number) {
+    const notRun = this.told.filter(t => t.result.outcome === 'not_run').length;
+    assert.ok(notRun >= count, `${notRun} were not run`);
+  },
+);
+
+Then(
+  /^the request ran (\d+) times?$/,
+  async function (this: SystemWorld, count: string) {
+    assert.equal((await this.runsOfRequest(FIT_ID)).length, Number(count));
+  },
+);
+
+Then(
+  /^the gang ran (\d+) times?$/,
+  async function (this: SystemWorld, count: string) {
+    assert.equal((await this.taskRuns()).runs.length, Number(count));
+  },
+);
+
+Then(
+  'no request that must run once ran twice',
+  async function (this: SystemWorld) {
+    const times = new Map<string, number>();
+    for (const {id} of await this.runs())
+      times.set(id, (times.get(id) ?? 0) + 1);
+    const once = this.told.filter(t => t.result.text.includes(t.asked));
+    assert.ok(once.length > 0);
+    const fits = new Set(this.fitIds);
+    const doubled = [...times].filter(([id, n]) => n > 1 && fits.has(id));
+    assert.deepEqual(doubled, []);
+  },
+);
+
+Then(
+  'the leaving backend server got no new work after {int} ms',
+  async function (this: SystemWorld, ms: number) {
+    const limit = this.marks.get('left')! + ms;
+    const own = (await this.runs()).filter(r => r.instance === 0);
+    assert.ok(own.length > 0, 'it had no work before');
+    assert.deepEqual(
+      own.filter(r => r.startedWallMs > limit),
+      [],
+    );
+  },
+);
+
+Then('no run was cut', async function (this: SystemWorld) {
+  assert.deepEqual(
+    (await this.runs()).filter(r => r.cut),
+    [],
+  );
+});
+
+Then('both stopped with code 0', function (this: SystemWorld) {
+  assert.equal(this.marks.get('codes'), 0);
+});
+
+Then('no accelerator was shared', async function (this: SystemWorld) {
+  assert.equal((await this.taskRuns()).sharedAccelerators, 0);
+});
+
+Then(
+  'every attempt but the last was stopped everywhere',
+  async function (this: SystemWorld) {
+    const {runs} = await this.taskRuns();
+    const attempts = new Map<string, string[]>();
+    for (const {task, state} of runs)
+      attempts.set(task, [...(attempts.get(task) ?? []), state]);
+    const states = [...attempts.values()];
+    assert.ok(states.length > 1, 'there was one attempt only');
+    const done = states.filter(s => s.every(state => state === 'done'));
+    assert.equal(done.length, 1, JSON.stringify([...attempts]));
+    // A member of a stopped attempt may have ended by itself before the stop.
+    for (const s of states)
+      assert.ok(
+        s.every(state => state !== 'running'),
+        JSON.stringify([...attempts]),
+      );
+  },
+);
+
+Then(
+  'the worker of instance {int} is quarantined',
+  async function (this: SystemWorld, instance: number) {
+    const {plan} = (await this.status()).pools[0];
+    assert.deepEqual(plan!.quarantinedWorkers, [`afinacion-${instance}`]);
+  },
+);
+
+// Configuration.
+
+Then('the new gate has the newest tables', async function (this: SystemWorld) {
+  const expected = (await this.status(this.cluster.gates[0])).versions;
+  await waitUntil(
+    'the new gate has the newest tables',
+    EVENT_TIMEOUT_MS,
+    async () => {
+      const {versions} = await this.status(this.cluster.gates.at(-1));
+      return (
+        versions.routes === expected.routes && versions.pools === expected.pools
+      );
+    },
+  );
+});
+
+Then(
+  'exactly {int} of them is accepted and the others are told 412',
+  function (this: SystemWorld, count: number) {
+    assert.equal(this.marks.get('accepted'), count);
+    assert.equal(this.marks.get('refused'), this.marks.get('edits')! - count);
+  },
+);
+
+Then(
+  'that edit is in force everywhere within {int} ms',
+  async function (this: SystemWorld, ms: number) {
+    const version = this.marks.get('version')! + 1;
+    await waitUntil('the edit is in force everywhere', ms, async () => {
+      const statuses = await Promise.all(
+        this.runningGates.map(g => this.status(g)),
+      );
+      return statuses.every(
+        s =>
+          s.versions.routes === version &&
+          s.agentVersions.every(a => a.versions.routes === version),
+      );
+    });
+  },
+);
+
+Then(
+  'an edit of the routes is accepted once',
+  async function (this: SystemWorld) {
+    const before = (await this.status()).versions.routes;
+    const {routes} = this.cluster.options.files.tables;
+    const version = await this.cluster.putTable('routes', [
+      ...routes,
+      {...routes[0], kind: 'once'},
+    ]);
+    assert.equal(version, before + 1);
+    await waitUntil(
+      'the version is in force',
+      EVENT_TIMEOUT_MS,
+      async () => (await this.status()).versions.routes === before + 1,
+    );
+  },
+);
