--- a/.ci/verdict.mjs
+++ b/.ci/verdict.mjs
@@ -8,7 +8,10 @@
   process.exit(1);
 }
 const known = existsSync('KNOWN-RED.txt')
-  ? readFileSync('KNOWN-RED.txt', 'utf8').split('\n').filter(l => l.startsWith('test: ')).map(l => l.slice('test: '.length).trim())
+  ? readFileSync('KNOWN-RED.txt', 'utf8')
+      .split('\n')
+      .filter(l => l.startsWith('test: '))
+      .map(l => l.slice('test: '.length).trim())
   : [];
 let passed = 0;
 let failed = 0;
@@ -16,12 +19,16 @@
   for (const scenario of feature.elements) {
     const ok = scenario.steps.every(step => step.result.status === 'passed');
     if (ok) passed++;
-    else if (known.includes(scenario.name)) console.log(`KNOWN RED: ${scenario.name}`);
+    else if (known.includes(scenario.name))
+      console.log(`KNOWN RED: ${scenario.name}`);
     else {
       failed++;
       console.log(`FAILED: ${feature.name}: ${scenario.name}`);
     }
-    if (ok && known.includes(scenario.name)) console.log(`passes again, remove it from KNOWN-RED.txt: ${scenario.name}`);
+    if (ok && known.includes(scenario.name))
+      console.log(
+        `passes again, remove it from KNOWN-RED.txt: ${scenario.name}`,
+      );
   }
 }
 if (passed === 0) failed++;
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -70,5 +70,6 @@
       ],
     },
   },
+  {files: ['**/*.mjs'], languageOptions: {globals: {console: 'readonly', process: 'readonly'}}},
   ...folders.map(importRule),
 ];
--- /dev/null
+++ b/spec/check_models.ts
@@ -0,0 +1,101 @@
+/** Explores every model as specified, and with each rule weakened in turn. */
+import {fromTransition} from 'xstate';
+import {getAdjacencyMap} from 'xstate/graph';
+import {CLAIM_RULES, type ClaimRules, makeClaimModel} from './claim_model.js';
+import {
+  CONFIG_RULES,
+  type ConfigRules,
+  type ConfigState,
+  makeConfigModel,
+} from './config_model.js';
+import {type Model, explore} from './explore.js';
+import {GANG_RULES, type GangRules, makeGangModel} from './gang_model.js';
+
+/** Result for one model, as specified or with one rule weakened. */
+export interface ModelReport {
+  readonly model: string;
+  /** Rule that was weakened; undefined for the model as specified. */
+  readonly weakened?: string;
+  readonly states: number;
+  readonly depth: number;
+  readonly passed: boolean;
+  readonly detail: string;
+}
+
+/** Checks all models; every weakened one must be caught. */
+export function checkModels(): ModelReport[] {
+  return [
+    ...checkFamily(CLAIM_RULES, (rules: ClaimRules) => makeClaimModel(rules)),
+    ...checkFamily(GANG_RULES, (rules: GangRules) => makeGangModel(rules)),
+    ...checkFamily(CONFIG_RULES, (rules: ConfigRules) =>
+      makeConfigModel(rules),
+    ),
+    checkAgainstXstate(),
+  ];
+}
+
+function checkFamily<R extends object, S>(
+  rules: R,
+  make: (rules: R) => Model<S>,
+): ModelReport[] {
+  const weakened = Object.keys(rules).map(rule =>
+    checkWeakened(make({...rules, [rule]: false}), rule),
+  );
+  return [checkSpecified(make(rules)), ...weakened];
+}
+
+function checkSpecified<S>(model: Model<S>): ModelReport {
+  const {states, depth, violation, unreached} = explore(model);
+  const detail = violation
+    ? `breaks "${violation.invariant}": ${violation.trace.join('; ')}`
+    : unreached.length > 0
+      ? `never reaches: ${unreached.join('; ')}`
+      : `${model.invariants.length} invariants hold, ${model.goals.length} goals reached`;
+  return {
+    model: model.name,
+    states,
+    depth,
+    passed: !violation && unreached.length === 0,
+    detail,
+  };
+}
+
+function checkWeakened<S>(model: Model<S>, rule: string): ModelReport {
+  const {states, depth, violation} = explore(model);
+  const detail = violation
+    ? `caught: "${violation.invariant}" after ${violation.trace.length} steps: ${violation.trace.join('; ')}`
+    : 'not caught';
+  return {
+    model: model.name,
+    weakened: rule,
+    states,
+    depth,
+    passed: violation !== undefined,
+    detail,
+  };
+}
+
+/** Explores the configuration model with xstate/graph too: both must find the same states. */
+function checkAgainstXstate(): ModelReport {
+  const model = makeConfigModel(CONFIG_RULES);
+  const own = explore(model);
+  const logic = fromTransition(
+    (state: ConfigState, event: {type: string}) =>
+      model.steps(state).find(step => step.label === event.type)?.next ?? state,
+    model.initial,
+  );
+  const map = getAdjacencyMap(logic, {
+    events: state =>
+      model.steps(state.context).map(step => ({type: step.label})),
+    serializeState: state => JSON.stringify(state.context),
+    limit: Infinity,
+  });
+  const states = Object.keys(map).length;
+  return {
+    model: 'configuration by xstate/graph',
+    states,
+    depth: own.depth,
+    passed: states === own.states,
+    detail: `own search found ${own.states} states`,
+  };
+}
--- /dev/null
+++ b/spec/main.ts
@@ -0,0 +1,14 @@
+/** Prints the report of all models; the exit code is 1 when one fails. */
+import {checkModels} from './check_models.js';
+
+let failed = 0;
+for (const report of checkModels()) {
+  if (!report.passed) failed++;
+  const name = report.weakened
+    ? `${report.model} without ${report.weakened}`
+    : report.model;
+  console.log(
+    `${report.passed ? 'ok  ' : 'FAIL'} ${name}: ${report.states} states, depth ${report.depth}; ${report.detail}`,
+  );
+}
+process.exit(failed === 0 ? 0 : 1);
