--- /dev/null
+++ b/measure/arrivals.ts
@@ -0,0 +1,221 @@
+/** Seeded lists of arrivals and faults for the policy measurement. */
+import {JobClass} from '../src/core/outcome.js';
+import {Random} from '../src/core/random.js';
+import {type Shape, ShapeLevel} from '../src/core/tables.js';
+import {type JobSpec} from '../src/planning/job.js';
+
+const MINUTE_MS = 60_000;
+export const ARRIVALS_END_MS = 120 * MINUTE_MS;
+const MIDDLE_MS = ARRIVALS_END_MS / 2;
+
+/** One job of the list. */
+export interface Arrival {
+  readonly spec: JobSpec;
+  /** Time that it needs on its accelerators. */
+  readonly runMs: number;
+  /** Time that its owner says it needs. */
+  readonly declaredMs: number;
+}
+
+/** Something else that happens at a time. */
+export type Incident =
+  | {readonly atMs: number; readonly type: 'rackDown'; readonly rack: number}
+  | {readonly atMs: number; readonly type: 'rackUp'; readonly rack: number}
+  | {
+      readonly atMs: number;
+      readonly type: 'workerBreaks';
+      readonly worker: number;
+    }
+  | {
+      readonly atMs: number;
+      readonly type: 'workerMends';
+      readonly worker: number;
+    }
+  /** Cancels these shares of the waiting and of the running jobs. */
+  | {
+      readonly atMs: number;
+      readonly type: 'cancelWave';
+      readonly waiting: number;
+      readonly running: number;
+    };
+
+export interface Workload {
+  readonly name: string;
+  readonly arrivals: readonly Arrival[];
+  readonly incidents: readonly Incident[];
+}
+
+interface SizeClass {
+  readonly shape: Shape;
+  readonly size: number;
+  readonly meanRunMs: number;
+}
+
+const SIZES: readonly SizeClass[] = [
+  {shape: [block(1)], size: 1, meanRunMs: 3 * MINUTE_MS},
+  {shape: [block(2)], size: 2, meanRunMs: 4 * MINUTE_MS},
+  {shape: [block(4)], size: 4, meanRunMs: 6 * MINUTE_MS},
+  {shape: [block(8)], size: 8, meanRunMs: 10 * MINUTE_MS},
+  {
+    shape: [{accelerators: 16, level: ShapeLevel.RACK, count: 1}],
+    size: 16,
+    meanRunMs: 15 * MINUTE_MS,
+  },
+];
+
+/** Shares of the accelerator time that each size asks for. */
+const MIXED: readonly number[] = [0.1, 0.15, 0.2, 0.25, 0.3];
+const MOSTLY_SMALL: readonly number[] = [0.3, 0.35, 0.2, 0.1, 0.05];
+const MOSTLY_LARGE: readonly number[] = [0.05, 0.05, 0.1, 0.3, 0.5];
+
+const URGENT_SHARE = 0.05;
+const BATCH_SHARE = 0.4;
+
+/** Names of the cases. */
+export const CASES = [
+  'steady',
+  'burst of small',
+  'burst of large',
+  'wrong declarations',
+  'cancellation wave',
+  'worker fails all',
+  'rack lost',
+  'mix changes',
+] as const;
+export type CaseName = (typeof CASES)[number];
+
+/** Builds the workload of one case for a pool. */
+export function makeWorkload(
+  name: CaseName,
+  seed: number,
+  workspaces: readonly string[],
+  accelerators: number,
+): Workload {
+  const maker = new WorkloadMaker(new Random(seed), workspaces, accelerators);
+  switch (name) {
+    case 'steady':
+      return maker.make(name, [maker.flow(0, ARRIVALS_END_MS, 0.8, MIXED)]);
+    case 'burst of small':
+      return maker.make(name, [
+        maker.flow(0, ARRIVALS_END_MS, 0.55, MIXED),
+        maker.burst(250, 0, 1),
+      ]);
+    case 'burst of large':
+      return maker.make(name, [
+        maker.flow(0, ARRIVALS_END_MS, 0.55, MIXED),
+        maker.burst(14, 4, 4),
+      ]);
+    case 'wrong declarations':
+      maker.declarationsWrongBy = 10;
+      return maker.make(name, [maker.flow(0, ARRIVALS_END_MS, 0.8, MIXED)]);
+    case 'cancellation wave':
+      return maker.make(
+        name,
+        [maker.flow(0, ARRIVALS_END_MS, 0.9, MIXED)],
+        [{atMs: MIDDLE_MS, type: 'cancelWave', waiting: 0.6, running: 0.3}],
+      );
+    case 'worker fails all':
+      return maker.make(
+        name,
+        [maker.flow(0, ARRIVALS_END_MS, 0.65, MIXED)],
+        [
+          {atMs: 20 * MINUTE_MS, type: 'workerBreaks', worker: 4},
+          {atMs: 80 * MINUTE_MS, type: 'workerMends', worker: 4},
+        ],
+      );
+    case 'rack lost':
+      return maker.make(
+        name,
+        [maker.flow(0, ARRIVALS_END_MS, 0.65, MIXED)],
+        [
+          {atMs: 30 * MINUTE_MS, type: 'rackDown', rack: 1},
+          {atMs: 60 * MINUTE_MS, type: 'rackUp', rack: 1},
+        ],
+      );
+    case 'mix changes':
+      return maker.make(name, [
+        maker.flow(0, MIDDLE_MS, 0.75, MOSTLY_SMALL),
+        maker.flow(MIDDLE_MS, ARRIVALS_END_MS, 0.75, MOSTLY_LARGE),
+      ]);
+  }
+}
+
+class WorkloadMaker {
+  /** Factor by which declared run times may be off, up or down. */
+  declarationsWrongBy = 1.5;
+  private next = 0;
+
+  constructor(
+    private readonly random: Random,
+    private readonly workspaces: readonly string[],
+    private readonly accelerators: number,
+  ) {}
+
+  make(
+    name: string,
+    lists: readonly Arrival[][],
+    incidents: readonly Incident[] = [],
+  ): Workload {
+    const arrivals = lists
+      .flat()
+      .sort((a, b) => a.spec.acceptedMs - b.spec.acceptedMs);
+    return {name, arrivals, incidents};
+  }
+
+  /** Poisson arrivals that ask for a share of the pool's accelerator time. */
+  flow(
+    fromMs: number,
+    toMs: number,
+    load: number,
+    mix: readonly number[],
+  ): Arrival[] {
+    return SIZES.flatMap((size, i) => {
+      const gapMs =
+        (size.size * size.meanRunMs) / (load * mix[i] * this.accelerators);
+      const arrivals: Arrival[] = [];
+      for (
+        let atMs = fromMs + this.random.exponential(gapMs);
+        atMs < toMs;
+        atMs += this.random.exponential(gapMs)
+      ) {
+        arrivals.push(this.arrival(size, atMs));
+      }
+      return arrivals;
+    });
+  }
+
+  /** Jobs of some sizes that arrive within a minute. */
+  burst(count: number, smallest: number, largest: number): Arrival[] {
+    return Array.from({length: count}, () => {
+      const size = SIZES[smallest + this.random.below(largest - smallest + 1)];
+      return this.arrival(size, MIDDLE_MS + this.random.next() * MINUTE_MS);
+    });
+  }
+
+  private arrival(size: SizeClass, atMs: number): Arrival {
+    const runMs = Math.max(5000, this.random.exponential(size.meanRunMs));
+    const off = this.declarationsWrongBy ** (2 * this.random.next() - 1);
+    const draw = this.random.next();
+    const batch = draw < BATCH_SHARE;
+    const urgent = !batch && draw < BATCH_SHARE + URGENT_SHARE;
+    const spec: JobSpec = {
+      id: `j${this.next++}`,
+      workspace: this.random.pick(this.workspaces),
+      kind: `size-${size.size}`,
+      shape: size.shape,
+      class: batch
+        ? JobClass.BATCH
+        : urgent
+          ? JobClass.URGENT
+          : JobClass.NORMAL,
+      preemptible: batch,
+      checkpointable: batch && this.random.next() < 0.5,
+      acceptedMs: atMs,
+    };
+    return {spec, runMs, declaredMs: runMs * off};
+  }
+}
+
+function block(accelerators: number) {
+  return {accelerators, level: ShapeLevel.WORKER, count: 1};
+}
--- /dev/null
+++ b/measure/baselines.ts
@@ -0,0 +1,225 @@
+/** Planners to compare with: they know neither guarantees nor classes. */
+import {
+  type Block,
+  BuddyPool,
+  type WorkerSite,
+  fullMask,
+} from '../src/planning/buddy_pool.js';
+import {type Cell, cellsOf, totalSize} from '../src/planning/cells.js';
+import {type JobSpec} from '../src/planning/job.js';
+import {
+  JobEnd,
+  type PlannerEffect,
+  type PlannerInput,
+  type PlannerStatus,
+  PoolPlanner,
+} from '../src/planning/pool_planner.js';
+import {findCell} from '../src/planning/site_map.js';
+
+const PER_WORKER = 8;
+
+interface BaselineJob {
+  readonly spec: JobSpec;
+  readonly cells: readonly Cell[];
+  blocks: readonly Block[];
+  startedMs: number;
+  removed: boolean;
+}
+
+/** Time that a job is declared to need, in ms. */
+export type DeclaredMs = (job: string) => number;
+
+abstract class BaselinePlanner extends PoolPlanner {
+  protected readonly pool = new BuddyPool();
+  protected readonly sites = new Map<string, WorkerSite>();
+  protected readonly waiting: BaselineJob[] = [];
+  protected readonly running = new Map<string, BaselineJob>();
+  protected effects: PlannerEffect[] = [];
+  protected nowMs = 0;
+  private readonly down = new Set<string>();
+
+  handle(input: PlannerInput, nowMs: number): PlannerEffect[] {
+    this.nowMs = nowMs;
+    this.effects = [];
+    this.apply(input);
+    this.schedule();
+    return this.effects;
+  }
+
+  status(): PlannerStatus {
+    return {
+      usableAccelerators: 0,
+      occupiedAccelerators: 0,
+      queued: this.waiting.length,
+      running: this.running.size,
+      reservedForLargeJobs: 0,
+      unmetGuarantees: [],
+      quarantinedWorkers: [],
+    };
+  }
+
+  /** Starts what may start now. */
+  protected abstract schedule(): void;
+
+  protected start(job: BaselineJob, blocks: readonly Block[]): void {
+    this.waiting.splice(this.waiting.indexOf(job), 1);
+    job.blocks = blocks;
+    job.startedMs = this.nowMs;
+    this.running.set(job.spec.id, job);
+    for (const b of blocks)
+      this.pool.setTaken(b.worker, this.pool.takenMask(b.worker) | b.mask);
+    this.effects.push({type: 'place', job: job.spec.id, blocks});
+  }
+
+  private apply(input: PlannerInput): void {
+    switch (input.type) {
+      case 'workerUp':
+        return this.onWorkerUp(input.site);
+      case 'workerDown':
+        return this.onWorkerDown(input.worker);
+      case 'submit':
+        this.waiting.push({
+          spec: input.job,
+          cells: cellsOf(input.job.shape, PER_WORKER),
+          blocks: [],
+          startedMs: 0,
+          removed: false,
+        });
+        return;
+      case 'cancel':
+        return this.onCancel(input.job, input.reason);
+      case 'ended':
+        return this.onEnded(input.job, input.end);
+      default:
+        return;
+    }
+  }
+
+  private onWorkerUp(site: WorkerSite): void {
+    if (!this.sites.has(site.id)) this.pool.add(site, false);
+    else this.pool.setTaken(site.id, this.heldOn(site.id));
+    this.sites.set(site.id, site);
+    this.down.delete(site.id);
+  }
+
+  private onWorkerDown(worker: string): void {
+    this.down.add(worker);
+    this.pool.setTaken(worker, fullMask(this.sites.get(worker)!));
+    for (const job of this.running.values()) {
+      if (job.blocks.some(b => b.worker === worker))
+        this.effects.push({type: 'stop', job: job.spec.id, checkpoint: false});
+    }
+  }
+
+  private heldOn(worker: string): number {
+    let mask = 0;
+    for (const job of this.running.values())
+      for (const b of job.blocks) if (b.worker === worker) mask |= b.mask;
+    return mask;
+  }
+
+  private onCancel(id: string, reason: string): void {
+    const at = this.waiting.findIndex(j => j.spec.id === id);
+    if (at >= 0) {
+      this.waiting.splice(at, 1);
+      this.effects.push({type: 'reject', job: id, reason, permanent: false});
+      return;
+    }
+    const job = this.running.get(id);
+    if (!job) return;
+    job.removed = true;
+    this.effects.push({type: 'stop', job: id, checkpoint: false});
+  }
+
+  private onEnded(id: string, end: JobEnd): void {
+    const job = this.running.get(id);
+    if (!job) return;
+    this.running.delete(id);
+    for (const b of job.blocks) {
+      if (!this.down.has(b.worker))
+        this.pool.setTaken(b.worker, this.pool.takenMask(b.worker) & ~b.mask);
+    }
+    job.blocks = [];
+    if (end !== JobEnd.DONE && !job.removed) this.waiting.unshift(job);
+  }
+}
+
+/** First come, first served; the first place that fits; the head of the queue blocks the rest. */
+export class FifoFirstFit extends BaselinePlanner {
+  protected schedule(): void {
+    while (this.waiting.length > 0) {
+      const job = this.waiting[0];
+      const blocks = this.firstFit(job.cells);
+      if (!blocks) return;
+      this.start(job, blocks);
+    }
+  }
+
+  /** Cells at the first place in the order of workers. */
+  private firstFit(cells: readonly Cell[]): Block[] | undefined {
+    const [cell] = cells;
+    if (cell.kind === 'workers') return this.pool.findWorkers(cell.count);
+    for (const site of this.sites.values()) {
+      const taken = this.pool.takenMask(site.id);
+      for (let offset = 0; offset < site.accelerators; offset += cell.size) {
+        const mask = ((1 << cell.size) - 1) << offset;
+        if ((taken & mask) === 0) return [{worker: site.id, mask}];
+      }
+    }
+    return undefined;
+  }
+}
+
+/** Best fit; later jobs may start if they are declared to end before the head of the queue can start. */
+export class BestFitBackfill extends BaselinePlanner {
+  constructor(private readonly declaredMs: DeclaredMs) {
+    super();
+  }
+
+  protected schedule(): void {
+    while (this.waiting.length > 0) {
+      const blocks = findCell(this.pool, this.waiting[0].cells[0]);
+      if (!blocks) break;
+      this.start(this.waiting[0], blocks);
+    }
+    if (this.waiting.length > 1) this.backfill();
+  }
+
+  private backfill(): void {
+    const headStartMs = this.expectedStartMs(this.waiting[0]);
+    for (const job of this.waiting.slice(1)) {
+      if (this.nowMs + this.declaredMs(job.spec.id) > headStartMs) continue;
+      const blocks = findCell(this.pool, job.cells[0]);
+      if (blocks) this.start(job, blocks);
+    }
+  }
+
+  /** When the head fits, if the running jobs end as declared. */
+  private expectedStartMs(head: BaselineJob): number {
+    const ends = [...this.running.values()]
+      .map(job => ({
+        job,
+        endMs: Math.max(
+          this.nowMs,
+          job.startedMs + this.declaredMs(job.spec.id),
+        ),
+      }))
+      .sort((a, b) => a.endMs - b.endMs);
+    const future = new BuddyPool();
+    for (const site of this.sites.values()) {
+      future.add(site, false);
+      future.setTaken(site.id, this.pool.takenMask(site.id));
+    }
+    for (const {job, endMs} of ends) {
+      for (const b of job.blocks)
+        future.setTaken(b.worker, future.takenMask(b.worker) & ~b.mask);
+      if (findCell(future, head.cells[0])) return endMs;
+    }
+    return Infinity;
+  }
+}
+
+/** Accelerators of a job. */
+export function sizeOf(spec: JobSpec): number {
+  return totalSize(cellsOf(spec.shape, PER_WORKER), PER_WORKER);
+}
--- /dev/null
+++ b/measure/main.ts
@@ -0,0 +1,21 @@
+/** Runs a measurement: `path`, `policy` or `scale`. */
+import {measurePath} from './path.js';
+import {measurePolicy} from './policy.js';
+import {measureScale} from './scale.js';
+
+const [what, argument] = process.argv.slice(2);
+switch (what) {
+  case 'path':
+    await measurePath();
+    break;
+  case 'policy':
+    for (const user of ['foundry', 'consortium'])
+      measurePolicy(user, argument ? Number(argument) : undefined);
+    break;
+  case 'scale':
+    measureScale();
+    break;
+  default:
+    console.error('name a measurement: path, policy or scale');
+    process.exit(2);
+}
--- /dev/null
+++ b/measure/path.ts
@@ -0,0 +1,177 @@
+/** Cost of the path through gate and agent, against calling the backend server directly. */
+import {readFileSync} from 'node:fs';
+import {build} from 'hdr-histogram-js';
+import {Agent, request} from 'undici';
+import {Cluster} from '../harness/cluster.js';
+import {readDeployment} from '../harness/deployment.js';
+import {type ManagedProcess} from '../harness/managed_process.js';
+import {sleep} from '../harness/wait.js';
+
+const CONCURRENCIES: readonly number[] = [1, 32, 256];
+const RUN_MS = 10;
+const MEASURE_MS = 4000;
+const ROUNDS = 3;
+const IDLE_MS = 10_000;
+const CLOCK_TICKS_PER_S = 100;
+const INSTANCES = 6;
+
+interface Target {
+  readonly name: string;
+  call(): Promise<boolean>;
+}
+
+interface Figures {
+  readonly perSecond: number;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  readonly failures: number;
+}
+
+/** Measures both ways in turn in one run and prints the ratios. */
+export async function measurePath(): Promise<void> {
+  const files = readDeployment('foundry');
+  const slots = 64;
+  const cluster = await Cluster.start({
+    files: {...files, deployment: {...files.deployment, slots}},
+    gates: 1,
+    instances: INSTANCES,
+  });
+  try {
+    await measureIdle(cluster);
+    const dispatcher = new Agent({connections: 512});
+    const direct = directTarget(cluster, dispatcher);
+    const through = gateTarget(cluster, dispatcher);
+    console.log(
+      'callers  way       req/s     p50       p99    failures   throughput ratio  p50 diff  p99 diff',
+    );
+    for (const callers of CONCURRENCIES) {
+      for (let round = 0; round < ROUNDS; round++) {
+        const a = await load(direct, callers);
+        const b = await load(through, callers);
+        print(callers, direct.name, a);
+        const ratio = (b.perSecond / a.perSecond).toFixed(3).padStart(14);
+        const p50 = `${(b.p50Ms - a.p50Ms).toFixed(2)} ms`.padStart(14);
+        const p99 = `${(b.p99Ms - a.p99Ms).toFixed(2)} ms`.padStart(10);
+        print(callers, through.name, b, `${ratio}${p50}${p99}`);
+      }
+    }
+  } finally {
+    await cluster.stop();
+  }
+}
+
+function directTarget(cluster: Cluster, dispatcher: Agent): Target {
+  const backends = cluster.instances.map(i => i.backend.http);
+  let next = 0;
+  return {
+    name: 'direct',
+    call: async () => {
+      const res = await request(
+        `${backends[next++ % backends.length]}/pitch-check`,
+        {
+          method: 'POST',
+          headers: {'content-type': 'application/json'},
+          body: JSON.stringify({id: 'm', runMs: RUN_MS}),
+          dispatcher,
+        },
+      );
+      await res.body.dump();
+      return res.statusCode === 200;
+    },
+  };
+}
+
+function gateTarget(cluster: Cluster, dispatcher: Agent): Target {
+  const [gate] = cluster.gates;
+  const headers = {
+    'content-type': 'application/json',
+    authorization: `Bearer ${cluster.workspaceToken('orquesta')}`,
+  };
+  return {
+    name: 'gate',
+    call: async () => {
+      const body = JSON.stringify({id: 'm', runMs: RUN_MS});
+      const res = await request(`${gate.http}/v1/requests/pitch-check`, {
+        method: 'POST',
+        headers,
+        body,
+        dispatcher,
+      });
+      await res.body.dump();
+      return res.headers['x-lagoonshunt-outcome'] === 'done';
+    },
+  };
+}
+
+async function load(target: Target, callers: number): Promise<Figures> {
+  const histogram = build({
+    highestTrackableValue: 60_000_000,
+    numberOfSignificantValueDigits: 3,
+  });
+  const endMs = performance.now() + MEASURE_MS;
+  let done = 0;
+  let failures = 0;
+  const loop = async () => {
+    while (performance.now() < endMs) {
+      const startedMs = performance.now();
+      if (!(await target.call())) failures++;
+      histogram.recordValue(Math.round((performance.now() - startedMs) * 1000));
+      done++;
+    }
+  };
+  await Promise.all(Array.from({length: callers}, loop));
+  return {
+    perSecond: (done * 1000) / MEASURE_MS,
+    p50Ms: histogram.getValueAtPercentile(50) / 1000,
+    p99Ms: histogram.getValueAtPercentile(99) / 1000,
+    failures,
+  };
+}
+
+function print(
+  callers: number,
+  way: string,
+  figures: Figures,
+  rest = '',
+): void {
+  const {perSecond, p50Ms, p99Ms, failures} = figures;
+  console.log(
+    `${String(callers).padStart(7)}  ${way.padEnd(7)} ${perSecond.toFixed(0).padStart(7)} ${p50Ms.toFixed(2).padStart(7)} ms ${p99Ms.toFixed(2).padStart(7)} ms ${String(failures).padStart(6)}${rest}`,
+  );
+}
+
+/** Processor time, memory and bytes sent of an idle gate and an idle agent. */
+async function measureIdle(cluster: Cluster): Promise<void> {
+  await sleep(3000);
+  const processes = [cluster.gates[0], cluster.instances[0].agent];
+  const before = await Promise.all(processes.map(p => usageOf(cluster, p)));
+  await sleep(IDLE_MS);
+  const after = await Promise.all(processes.map(p => usageOf(cluster, p)));
+  console.log(`idle, with ${INSTANCES} agents and 1 gate`);
+  processes.forEach((p, i) => {
+    const cpu = ((after[i].cpuS - before[i].cpuS) / (IDLE_MS / 1000)) * 100;
+    const bytes = (after[i].bytesSent - before[i].bytesSent) / (IDLE_MS / 1000);
+    console.log(
+      `${p.name}: ${cpu.toFixed(2)} % of a core, ${after[i].rssMb.toFixed(0)} MB, ${(bytes / 1000).toFixed(2)} KB/s sent on links`,
+    );
+  });
+}
+
+async function usageOf(cluster: Cluster, process: ManagedProcess) {
+  const stat = readFileSync(`/proc/${process.pid}/stat`, 'utf8')
+    .split(') ')[1]
+    .split(' ');
+  const cpuS = (Number(stat[11]) + Number(stat[12])) / CLOCK_TICKS_PER_S;
+  const rssKb = Number(
+    /VmRSS:\s+(\d+)/.exec(
+      readFileSync(`/proc/${process.pid}/status`, 'utf8'),
+    )![1],
+  );
+  const res = await request(`${process.http}/metrics`, {
+    headers: {authorization: `Bearer ${cluster.operatorToken}`},
+  });
+  const bytesSent = Number(
+    /lagoonshunt_link_bytes_sent (\d+)/.exec(await res.body.text())![1],
+  );
+  return {cpuS, rssMb: rssKb / 1000, bytesSent};
+}
--- /dev/null
+++ b/measure/scale.ts
@@ -0,0 +1,154 @@
+/** Time per planning event and memory of one planner, as the pool grows. */
+import {JobClass} from '../src/core/outcome.js';
+import {Random} from '../src/core/random.js';
+import {type Pool, ShapeLevel} from '../src/core/tables.js';
+import {
+  DEFAULT_PLANNER_OPTIONS,
+  GuaranteePlanner,
+} from '../src/planning/guarantee_planner.js';
+import {type JobSpec} from '../src/planning/job.js';
+import {JobEnd, type PlannerInput} from '../src/planning/pool_planner.js';
+import {percentile} from './policy_run.js';
+
+const WORKER_COUNTS: readonly number[] = [11, 100, 1000, 3500];
+const WORKERS_PER_RACK = 3;
+const TASKS_PER_WORKER = 17;
+const EVENTS = 4000;
+const WORKSPACES = 88;
+const SIZES: readonly number[] = [1, 1, 1, 1, 2, 2, 4, 8];
+
+/** Prints one row for each size of the pool. */
+export function measureScale(): void {
+  console.log(
+    'workers  accelerators  running  queued  place p50  place p99     max  worker lost  edit     memory',
+  );
+  for (const workers of WORKER_COUNTS) measureOne(workers);
+}
+
+function measureOne(workers: number): void {
+  const heapBefore = heapMb();
+  const bench = new PlannerBench(workers);
+  bench.fill();
+  const times = bench.churn(EVENTS);
+  const lostMs = bench.time({type: 'workerDown', worker: 'w0'});
+  const editMs = bench.time({type: 'configure', pool: bench.pool});
+  const {queued, running} = bench.planner.status();
+  console.log(
+    [
+      String(workers).padStart(7),
+      String(workers * 8).padStart(13),
+      String(running).padStart(8),
+      String(queued).padStart(7),
+      `${percentile(times, 0.5).toFixed(3)} ms`.padStart(10),
+      `${percentile(times, 0.99).toFixed(3)} ms`.padStart(10),
+      `${percentile(times, 1).toFixed(1)} ms`.padStart(8),
+      `${lostMs.toFixed(1)} ms`.padStart(12),
+      `${editMs.toFixed(1)} ms`.padStart(8),
+      `${(heapMb() - heapBefore).toFixed(1)} MB`.padStart(9),
+    ].join(' '),
+  );
+}
+
+class PlannerBench {
+  readonly planner = new GuaranteePlanner(DEFAULT_PLANNER_OPTIONS);
+  readonly pool: Pool;
+  private readonly random = new Random(7);
+  private readonly running: string[] = [];
+  private next = 0;
+  private nowMs = 0;
+
+  constructor(private readonly workers: number) {
+    const spaces = Math.min(WORKSPACES, workers);
+    const owed = Math.max(1, Math.floor(workers / 2 / spaces));
+    this.pool = {
+      name: 'scale',
+      selector: {},
+      workspaces: Array.from({length: spaces}, (unused, i) => ({
+        name: `ws${i}`,
+        guarantee: [{accelerators: 8, level: ShapeLevel.WORKER, count: owed}],
+      })),
+    };
+    this.handle({type: 'configure', pool: this.pool});
+    for (let i = 0; i < workers; i++) {
+      this.handle({
+        type: 'workerUp',
+        site: {
+          id: `w${i}`,
+          rack: `r${Math.floor(i / WORKERS_PER_RACK)}`,
+          accelerators: 8,
+        },
+      });
+    }
+    this.handle({type: 'inventoryKnown'});
+  }
+
+  /** Submits jobs until the pool is full and some wait. */
+  fill(): void {
+    const target = Math.floor((this.workers * TASKS_PER_WORKER) / 4);
+    for (let i = 0; i < target; i++) this.submit();
+  }
+
+  /** Ends a job and submits another, many times; returns the time of each step in ms. */
+  churn(events: number): number[] {
+    const times: number[] = [];
+    for (let i = 0; i < events; i++) {
+      this.nowMs += 10;
+      const at = this.random.below(this.running.length);
+      const job = this.running[at];
+      this.running[at] = this.running.at(-1)!;
+      this.running.pop();
+      times.push(
+        this.time({
+          type: 'ended',
+          job,
+          end: JobEnd.DONE,
+          failedWorkers: [],
+          retry: true,
+        }),
+      );
+      times.push(this.submit());
+    }
+    return times;
+  }
+
+  time(input: PlannerInput): number {
+    const startedMs = performance.now();
+    const effects = this.planner.handle(input, this.nowMs);
+    const tookMs = performance.now() - startedMs;
+    for (const effect of effects) {
+      if (effect.type === 'place') this.running.push(effect.job);
+      if (effect.type === 'stop') this.forget(effect.job);
+    }
+    return tookMs;
+  }
+
+  private forget(job: string): void {
+    const at = this.running.indexOf(job);
+    if (at >= 0) this.running.splice(at, 1);
+  }
+
+  private handle(input: PlannerInput): void {
+    this.time(input);
+  }
+
+  private submit(): number {
+    const size = this.random.pick(SIZES);
+    const preemptible = this.random.next() < 0.4;
+    const job: JobSpec = {
+      id: `j${this.next++}`,
+      workspace: `ws${this.random.below(this.pool.workspaces.length)}`,
+      kind: `k${size}`,
+      shape: [{accelerators: size, level: ShapeLevel.WORKER, count: 1}],
+      class: preemptible ? JobClass.BATCH : JobClass.NORMAL,
+      preemptible,
+      checkpointable: false,
+      acceptedMs: this.nowMs,
+    };
+    return this.time({type: 'submit', job});
+  }
+}
+
+function heapMb(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed / 1e6;
+}
--- a/spec/claim_model.ts
+++ b/spec/claim_model.ts
@@ -90,6 +90,8 @@
   readonly runs: readonly number[];
   /** Highest attempt for which a caller was told `not_run`. */
   readonly toldNotRun: number;
+  /** True once a caller was told `not_run` after a run. */
+  readonly toldTooLate: boolean;
 }
 
 const MAX_ATTEMPT = 2;
@@ -119,6 +121,7 @@
       losses: 0,
       runs: [],
       toldNotRun: 0,
+      toldTooLate: false,
     },
     steps: state =>
       [
@@ -128,6 +131,10 @@
       ].map(({label, next}) => ({label, next: dropDead(next, rules)})),
     invariants: [
       {name: 'the request runs at most once', holds: s => s.runs.length <= 1},
+      {
+        name: 'not_run is never told after a run',
+        holds: s => !s.toldTooLate,
+      },
       {
         name: 'not_run implies that no attempt up to it ran',
         holds: s => s.runs.every(attempt => attempt > s.toldNotRun),
@@ -482,7 +489,12 @@
     outcome === 'not_run'
       ? Math.max(state.toldNotRun, gate.attempt)
       : state.toldNotRun;
-  return {label: `${why}: ${outcome}`, next: {...told, toldNotRun}};
+  const toldTooLate =
+    state.toldTooLate || (outcome === 'not_run' && state.runs.length > 0);
+  return {
+    label: `${why}: ${outcome}`,
+    next: {...told, toldNotRun, toldTooLate},
+  };
 }
 
 function deliver(
--- a/src/core/timer_heap.ts
+++ b/src/core/timer_heap.ts
@@ -12,6 +12,11 @@
     this.siftUp(this.items.length - 1);
   }
 
+  /** When the next value comes due; undefined when there is none. */
+  peekDueMs(): number | undefined {
+    return this.items.at(0)?.dueMs;
+  }
+
   /** Removes and returns all values that are due, earliest first. */
   takeDue(nowMs: number): T[] {
     const due: T[] = [];
