Planner: borrowed accelerators are given out in a second pass

Cause: a job placed on borrowed accelerators was often stopped in the same round by their owner; the trace of one job shows place and stop at the same millisecond, nine times. Also a fault of the measurement: the end of a stopped start was still counted. Change: two passes, the second with borrowing; the measurement drops ends of former starts.

--- a/measure/policy.ts
+++ b/measure/policy.ts
@@ -36,6 +36,7 @@
   {name: 'fifo first fit', make: () => new FifoFirstFit()},
   {name: 'best fit, backfill', make: makeBackfill},
   ours('ours', {}),
+  ours('  own cells first', {splitOwnLast: false}),
   ours('  no reservations', {maxReservations: 0}),
   ours('  no borrowing', {borrowing: false}),
   ours('  no fair share', {fairShare: false}),
--- a/measure/policy_run.ts
+++ b/measure/policy_run.ts
@@ -219,6 +219,7 @@
     if (job && job.start !== event.start) return;
     if (job) {
       const ranMs = this.nowMs - job.startedMs;
+      job.start++;
       if (event.checkpoint)
         job.remainingMs = Math.max(
           1000,
--- a/src/planning/guarantee_planner.ts
+++ b/src/planning/guarantee_planner.ts
@@ -10,7 +10,7 @@
 import {DrainReservations} from './drain_reservations.js';
 import {GuaranteeLayout} from './guarantee_layout.js';
 import {type Job, JobPhase, type JobSpec} from './job.js';
-import {JobQueue, type Lane} from './job_queue.js';
+import {JobQueue, type Lane, SCHEDULING_PASSES} from './job_queue.js';
 import {type Placement, PlacementSearch} from './placement_search.js';
 import {
   JobEnd,
@@ -41,6 +41,10 @@
   readonly checkpointMs: number;
   /** Whether work that can be preempted may use idle guarantees of others. */
   readonly borrowing: boolean;
+  /** Whether a guaranteed cell is cut up only when there is no open room. */
+  readonly splitOwnLast: boolean;
+  /** Wait after which a job counts as one class more urgent, up to normal; 0 turns it off. */
+  readonly promoteAfterMs: number;
   /** Whether workers that fail everything are quarantined. */
   readonly quarantine: boolean;
   /** Whether workspaces are served by share; otherwise by age only. */
@@ -54,6 +58,8 @@
   maxReservations: 2,
   checkpointMs: 2_000,
   borrowing: true,
+  splitOwnLast: true,
+  promoteAfterMs: 0,
   quarantine: true,
   fairShare: true,
 };
@@ -332,30 +338,35 @@
 
   // Scheduling.
 
+  /**
+   * Places waiting jobs. Borrowed accelerators are given out last, so that no
+   * job borrows what its owner takes back in the same round.
+   */
   private schedule(): void {
-    for (;;) {
-      const lane = this.nextLane();
-      if (!lane) return;
+    for (let pass = 0; pass < SCHEDULING_PASSES;) {
+      const lane = this.nextLane(pass);
+      if (!lane) {
+        pass++;
+        continue;
+      }
       const job = lane.jobs[0];
+      const mayBorrow = pass === SCHEDULING_PASSES - 1;
       const placement = this.isOverLimit(job)
         ? undefined
-        : this.search.find(job, this.nowMs);
+        : this.search.find(job, this.nowMs, mayBorrow);
       if (placement) this.start(job, placement);
-      else lane.failedAtVersion = this.capacityVersion;
+      else lane.failedAtVersion[pass] = this.capacityVersion;
     }
   }
 
   /** The first lane in order that has not been tried since capacity last grew. */
-  private nextLane(): Lane | undefined {
-    let untried = false;
-    for (const lane of this.queue.allLanes()) {
-      if (lane.failedAtVersion !== this.capacityVersion) untried = true;
-    }
-    if (!untried) return undefined;
-    const lanes = this.queue.inOrder(w =>
-      this.options.fairShare ? this.usedShare(w) : 0,
-    );
-    return lanes.find(lane => lane.failedAtVersion !== this.capacityVersion);
+  private nextLane(pass: number): Lane | undefined {
+    const isUntried = (lane: Lane) =>
+      lane.failedAtVersion[pass] !== this.capacityVersion;
+    if (![...this.queue.allLanes()].some(isUntried)) return undefined;
+    const share = (workspace: string) =>
+      this.options.fairShare ? this.usedShare(workspace) : 0;
+    return this.queue.inOrder(share).find(isUntried);
   }
 
   private usedShare(workspace: string): number {
--- a/src/planning/job_queue.ts
+++ b/src/planning/job_queue.ts
@@ -5,14 +5,18 @@
  */
 import {type Job, classRank} from './job.js';
 
+/** Passes of one scheduling round: without borrowed accelerators, then with them. */
+export const SCHEDULING_PASSES = 2;
+const NEVER_FAILED = -1;
+
 /** Jobs that are alike for placement, oldest first. */
 export interface Lane {
   readonly key: string;
   readonly workspace: string;
   readonly rank: number;
   readonly jobs: Job[];
-  /** Capacity version at which the first job could not be placed. */
-  failedAtVersion: number;
+  /** Capacity version at which the first job could not be placed, by pass. */
+  readonly failedAtVersion: number[];
 }
 
 export class JobQueue {
@@ -30,7 +34,7 @@
     );
     if (at < 0) lane.jobs.push(job);
     else lane.jobs.splice(at, 0, job);
-    lane.failedAtVersion = -1;
+    lane.failedAtVersion.fill(NEVER_FAILED);
     this.count++;
   }
 
@@ -69,7 +73,9 @@
         workspace: job.spec.workspace,
         rank: classRank(job.spec.class),
         jobs: [],
-        failedAtVersion: -1,
+        failedAtVersion: new Array<number>(SCHEDULING_PASSES).fill(
+          NEVER_FAILED,
+        ),
       };
       this.lanes.set(job.lane, lane);
     }
--- a/src/planning/placement_search.ts
+++ b/src/planning/placement_search.ts
@@ -7,7 +7,7 @@
   bitCount,
   fullMask,
 } from './buddy_pool.js';
-import {type Cell} from './cells.js';
+import {type Cell, cellSize} from './cells.js';
 import {type DrainReservations} from './drain_reservations.js';
 import {type GuaranteeLayout} from './guarantee_layout.js';
 import {type Job, JobPhase, classRank, lossOf} from './job.js';
@@ -24,6 +24,10 @@
   readonly checkpointMs: number;
   /** Whether work that can be preempted may use idle guarantees of others. */
   readonly borrowing: boolean;
+  /** Whether a guaranteed cell is cut up only when there is no open room. */
+  readonly splitOwnLast: boolean;
+  /** Accelerators of one worker. */
+  readonly perWorker: number;
 }
 
 /** One way to place a cell. */
@@ -36,6 +40,7 @@
 
 export class PlacementSearch {
   private nowMs = 0;
+  private mayBorrow = false;
 
   constructor(
     private readonly sites: SiteMap,
@@ -48,8 +53,9 @@
    * Finds places for all cells of a job or for none. The accelerators are
    * marked as taken by the job when it succeeds.
    */
-  find(job: Job, nowMs: number): Placement | undefined {
+  find(job: Job, nowMs: number, mayBorrow: boolean): Placement | undefined {
     this.nowMs = nowMs;
+    this.mayBorrow = mayBorrow && this.options.borrowing;
     const blocks: Block[] = [];
     const victims = new Set<Job>();
     for (const cell of job.cells) {
@@ -69,19 +75,41 @@
   }
 
   private placeCell(job: Job, cell: Cell): readonly Block[] | undefined {
+    if (this.options.splitOwnLast) return this.placeKeepingOwnWhole(job, cell);
     return (
       this.inOwnFree(job, cell) ??
-      this.inShared(job, cell) ??
+      this.inOpen(job, cell) ??
+      this.inBorrowed(job, cell) ??
+      this.inOwnReclaimed(job, cell) ??
+      this.byUrgency(job, cell)
+    );
+  }
+
+  /** Cuts a guaranteed cell up only when there is no open room, so that it stays whole for a large job. */
+  private placeKeepingOwnWhole(
+    job: Job,
+    cell: Cell,
+  ): readonly Block[] | undefined {
+    return (
+      this.inOwnFree(job, cell, cellSize(cell, this.options.perWorker)) ??
+      this.inOpen(job, cell) ??
+      this.inOwnFree(job, cell) ??
+      this.inBorrowed(job, cell) ??
       this.inOwnReclaimed(job, cell) ??
       this.byUrgency(job, cell)
     );
   }
 
   /** Free accelerators of the job's own guarantee or reservation. */
-  private inOwnFree(job: Job, cell: Cell): readonly Block[] | undefined {
+  private inOwnFree(
+    job: Job,
+    cell: Cell,
+    placeSize = Infinity,
+  ): readonly Block[] | undefined {
     let best: readonly Block[] | undefined;
     let bestLeft = Infinity;
     for (const place of this.ownPlaces(job)) {
+      if (sizeOf(place) > placeSize) continue;
       for (const blocks of this.subCells(place, cell)) {
         if (
           blocks.some(b => (this.sites.freeMask(b.worker) & b.mask) !== b.mask)
@@ -99,11 +127,15 @@
     return best;
   }
 
-  /** Free accelerators that are promised to nobody, or borrowed ones. */
-  private inShared(job: Job, cell: Cell): readonly Block[] | undefined {
+  /** Free accelerators that are promised to nobody. */
+  private inOpen(job: Job, cell: Cell): readonly Block[] | undefined {
     if (!job.spec.preemptible && this.layout.hasUnmet) return undefined;
-    const open = findCell(this.sites.open, cell, job.failedOn);
-    if (open || !job.spec.preemptible || !this.options.borrowing) return open;
+    return findCell(this.sites.open, cell, job.failedOn);
+  }
+
+  /** Free accelerators that are promised to others. */
+  private inBorrowed(job: Job, cell: Cell): readonly Block[] | undefined {
+    if (!job.spec.preemptible || !this.mayBorrow) return undefined;
     return findCell(this.sites.physical, cell, job.failedOn);
   }
 
@@ -217,6 +249,10 @@
   return classRank(job.spec.class) < classRank(holder.spec.class);
 }
 
+function sizeOf(place: readonly Block[]): number {
+  return place.reduce((sum, block) => sum + bitCount(block.mask), 0);
+}
+
 function maskOn(place: readonly Block[], worker: string): Mask {
   return place.find(b => b.worker === worker)?.mask ?? 0;
 }
