Planner: guaranteed cells are cut up last, and packed together again when a large job starves

Ruled out: reservations (none was held), limits (0 in use). Change: when no reservation can be made for a starving job, the guarantees are laid out afresh without keeping their places; a job cuts the smallest own cell that holds it, and its workspace's larger cells only when there is no open room.

--- a/measure/policy.ts
+++ b/measure/policy.ts
@@ -1,6 +1,5 @@
 /** Compares planners on the same arrivals and faults, over many seeds. */
-import {readDeployment} from '../harness/deployment.js';
-import {placesOf} from '../harness/deployment.js';
+import {placesOf, readDeployment} from '../harness/deployment.js';
 import {type Pool} from '../src/core/tables.js';
 import {type WorkerSite} from '../src/planning/buddy_pool.js';
 import {
--- a/src/planning/guarantee_layout.ts
+++ b/src/planning/guarantee_layout.ts
@@ -81,9 +81,9 @@
     this.layOut(former, jobs);
   }
 
-  /** Lays all guarantees out afresh, keeping their places where possible. */
-  rebuild(jobs: Iterable<Job>): void {
-    const former = this.bindings.map(b => ({...b}));
+  /** Lays all guarantees out afresh; with `keepPlaces`, where they are if possible. */
+  rebuild(jobs: Iterable<Job>, keepPlaces: boolean): void {
+    const former = keepPlaces ? this.bindings.map(b => ({...b})) : [];
     for (const binding of this.bindings) this.unbind(binding);
     this.layOut(former, jobs);
   }
--- a/src/planning/guarantee_planner.ts
+++ b/src/planning/guarantee_planner.ts
@@ -27,6 +27,8 @@
 const MAX_FAILED_WORKERS = 3;
 /** Interval at which guarantees without a place are laid out afresh. */
 const REPAIR_INTERVAL_MS = 1000;
+/** Shortest time between two compactions of the guarantees. */
+const COMPACTION_INTERVAL_MS = 30_000;
 
 export interface PlannerOptions {
   /** Accelerators of one worker. */
@@ -43,8 +45,6 @@
   readonly borrowing: boolean;
   /** Whether a guaranteed cell is cut up only when there is no open room. */
   readonly splitOwnLast: boolean;
-  /** Wait after which a job counts as one class more urgent, up to normal; 0 turns it off. */
-  readonly promoteAfterMs: number;
   /** Whether workers that fail everything are quarantined. */
   readonly quarantine: boolean;
   /** Whether workspaces are served by share; otherwise by age only. */
@@ -59,7 +59,6 @@
   checkpointMs: 2_000,
   borrowing: true,
   splitOwnLast: true,
-  promoteAfterMs: 0,
   quarantine: true,
   fairShare: true,
 };
@@ -82,6 +81,7 @@
   private inventoryKnown = false;
   private capacityVersion = 0;
   private lastRepairMs = 0;
+  private lastCompactionMs = 0;
   private effects: PlannerEffect[] = [];
   private nowMs = 0;
 
@@ -227,7 +227,7 @@
     if (!this.layout.hasUnmet) return;
     this.lastRepairMs = this.nowMs;
     this.drains.releaseAll();
-    this.layout.rebuild(this.jobs.values());
+    this.layout.rebuild(this.jobs.values(), true);
   }
 
   // Jobs.
@@ -253,7 +253,7 @@
     job.startedMs = this.nowMs;
     this.countUse(job, 1);
     this.drains.releaseAll();
-    this.layout.rebuild(this.jobs.values());
+    this.layout.rebuild(this.jobs.values(), true);
   }
 
   private onCancel(id: string, reason: string): void {
@@ -460,11 +460,27 @@
     for (const lane of this.queue.allLanes()) {
       if (this.drains.count >= this.options.maxReservations) return;
       const job = lane.jobs[0];
-      if (this.isStarving(job) && this.drains.reserve(job, this.nowMs))
-        this.capacityVersion++;
+      if (!this.isStarving(job)) continue;
+      if (this.reserve(job)) this.capacityVersion++;
     }
   }
 
+  private reserve(job: Job): boolean {
+    if (this.drains.reserve(job, this.nowMs)) return true;
+    if (this.nowMs - this.lastCompactionMs < COMPACTION_INTERVAL_MS)
+      return false;
+    this.compactLayout();
+    return this.drains.reserve(job, this.nowMs);
+  }
+
+  /** Packs the guarantees together, since losses and returns may have spread them. */
+  private compactLayout(): void {
+    this.lastCompactionMs = this.nowMs;
+    this.drains.releaseAll();
+    this.layout.rebuild(this.jobs.values(), false);
+    this.capacityVersion++;
+  }
+
   private isStarving(job: Job): boolean {
     if (job.size < this.options.largeJobSize || this.drains.has(job.spec.id))
       return false;
--- a/src/planning/placement_search.ts
+++ b/src/planning/placement_search.ts
@@ -2,6 +2,7 @@
 import {JobClass} from '../core/outcome.js';
 import {
   type Block,
+  MAX_ACCELERATORS_PER_WORKER,
   type Mask,
   alignedBlocks,
   bitCount,
@@ -107,26 +108,30 @@
     placeSize = Infinity,
   ): readonly Block[] | undefined {
     let best: readonly Block[] | undefined;
-    let bestLeft = Infinity;
+    let bestCost = Infinity;
     for (const place of this.ownPlaces(job)) {
       if (sizeOf(place) > placeSize) continue;
       for (const blocks of this.subCells(place, cell)) {
-        if (
-          blocks.some(b => (this.sites.freeMask(b.worker) & b.mask) !== b.mask)
-        )
-          continue;
-        const left = bitCount(
-          this.sites.freeMask(blocks[0].worker) &
-            maskOn(place, blocks[0].worker),
-        );
-        if (left >= bestLeft) continue;
+        if (!blocks.every(b => this.isFree(b))) continue;
+        const cost = this.cuttingCost(place, blocks[0].worker);
+        if (cost >= bestCost) continue;
         best = blocks;
-        bestLeft = left;
+        bestCost = cost;
       }
     }
     return best;
   }
 
+  private isFree(block: Block): boolean {
+    return (this.sites.freeMask(block.worker) & block.mask) === block.mask;
+  }
+
+  /** Orders places to cut from: the smallest first, then the one with the least left. */
+  private cuttingCost(place: readonly Block[], worker: string): number {
+    const left = this.sites.freeMask(worker) & maskOn(place, worker);
+    return sizeOf(place) * MAX_ACCELERATORS_PER_WORKER * 2 + bitCount(left);
+  }
+
   /** Free accelerators that are promised to nobody. */
   private inOpen(job: Job, cell: Cell): readonly Block[] | undefined {
     if (!job.spec.preemptible && this.layout.hasUnmet) return undefined;
@@ -227,9 +232,8 @@
       );
     }
     if (place.length < cell.count) return [];
-    const isFree = (b: Block) => this.sites.freeMask(b.worker) === b.mask;
     const freeFirst = [...place].sort(
-      (a, b) => Number(isFree(b)) - Number(isFree(a)),
+      (a, b) => Number(this.isFree(b)) - Number(this.isFree(a)),
     );
     return [freeFirst.slice(0, cell.count)];
   }
