--- a/spec/gang_model.ts
+++ b/spec/gang_model.ts
@@ -80,6 +80,8 @@
   /** True when an answer was taken while not all members were done. */
   readonly partialAnswer: boolean;
   readonly sharedAccelerator: boolean;
+  /** True once an agent that knows the successor took an order of its predecessor. */
+  readonly obeyedFormerOwner: boolean;
   readonly crashes: number;
 }
 
@@ -114,6 +116,7 @@
       outcome: '',
       partialAnswer: false,
       sharedAccelerator: false,
+      obeyedFormerOwner: false,
       crashes: 0,
     },
     steps: state => [
@@ -134,6 +137,10 @@
         name: 'no answer is taken from a part of a gang',
         holds: s => !s.partialAnswer,
       },
+      {
+        name: 'an agent that knows the successor takes no order of its predecessor',
+        holds: s => !s.obeyedFormerOwner,
+      },
       {
         name: 'no accelerator is in two gangs',
         holds: s => !s.sharedAccelerator,
@@ -287,6 +294,9 @@
 }
 
 function admit(state: GangState, o: number, m: number): GangState {
+  if (state.members[m].epoch > epochOf(o)) {
+    return {...state, obeyedFormerOwner: true};
+  }
   return withMember(state, m, {
     epoch: Math.max(state.members[m].epoch, epochOf(o)),
   });
--- a/src/planning/guarantee_planner.ts
+++ b/src/planning/guarantee_planner.ts
@@ -128,6 +128,13 @@
     return auditPlan(this.jobs.values(), this.layout.all());
   }
 
+  /** Accelerators that jobs hold, by workspace. Meant for tests. */
+  heldBlocks(): (Block & {readonly workspace: string})[] {
+    return [...this.jobs.values()].flatMap(job =>
+      job.blocks.map(block => ({...block, workspace: job.spec.workspace})),
+    );
+  }
+
   private apply(input: PlannerInput): void {
     switch (input.type) {
       case 'configure':
