--- a/src/protocol/check.ts
+++ b/src/protocol/check.ts
@@ -17,6 +17,9 @@
 } from '../core/tables.js';
 import {poolsTableSchema, routesTableSchema} from './tables.js';
 
+/** Accelerators of the largest worker that an agent may have. */
+const MAX_ACCELERATORS_PER_WORKER = 16;
+
 /** A parsed document, or the faults that were found in it. */
 export type Checked<T> =
   | {readonly ok: true; readonly value: T}
@@ -128,6 +131,16 @@
       },
     ];
   }
+  if (route.preemptible && !route.idempotent) {
+    return [
+      {
+        path: `routes[${index}].preemptible`,
+        found: 'true for a route that is not idempotent',
+        expected: 'false, since what was stopped could not be run again',
+        remedy: 'make the route idempotent, or set preemptible to false',
+      },
+    ];
+  }
   if (!route.shape && route.pool) {
     return [
       {
@@ -157,6 +170,7 @@
   const faults = [
     ...duplicateFaults(`pools[${index}].workspaces`, names, 'name'),
   ];
+  faults.push(...capacityFaults(pool, index));
   pool.workspaces.forEach((share, i) => {
     const owed = countAccelerators(share.guarantee);
     if (share.limit !== undefined && owed > share.limit) {
@@ -171,6 +185,25 @@
   return faults;
 }
 
+/** Guarantees that a pool of named workers could not hold even if each were the largest possible. */
+function capacityFaults(pool: Pool, index: number): readonly Fault[] {
+  if (!pool.workers) return [];
+  const most = pool.workers.length * MAX_ACCELERATORS_PER_WORKER;
+  const owed = pool.workspaces.reduce(
+    (sum, share) => sum + countAccelerators(share.guarantee),
+    0,
+  );
+  if (owed <= most) return [];
+  return [
+    {
+      path: `pools[${index}].workspaces`,
+      found: `guarantees of ${owed} accelerators together`,
+      expected: `at most ${most}, for ${pool.workers.length} workers`,
+      remedy: 'lower the guarantees or add workers to the pool',
+    },
+  ];
+}
+
 function sharedWorkerFaults(pools: readonly Pool[]): readonly Fault[] {
   const owner = new Map<string, string>();
   const faults: Fault[] = [];
--- /dev/null
+++ b/tests/features/conformance.feature
@@ -0,0 +1,11 @@
+Feature: The machines behave as a naive version does, whatever the faults
+
+  Scenario: Without faults, the outcomes are those of the naive version
+    Then 200 random histories without faults end as in the naive version
+
+  Scenario: Under faults, what was told is true
+    Then 1500 random histories with faults tell the truth
+
+  Scenario: Tables only move to higher versions
+    Then 300 random orders of deltas, whole tables and offers end at the newest version
+
