A closed claim binds every send that was made before it

A farmer who believes not_run and orders anew under another key would be billed twice. Ruled out: running it under the same attempt (the row was closed on its attempt). Change: closed rows carry their time; a send that was accepted before it, by a margin of 1 s for the clocks of two gates, ends not_run as well instead of opening the next attempt.

--- a/src/core/request_messages.ts
+++ b/src/core/request_messages.ts
@@ -49,6 +49,8 @@
       readonly type: 'conflict';
       readonly version: number;
       readonly row?: ClaimRow;
+      /** How long ago the row was closed, when it is closed. */
+      readonly closedAgoMs?: number;
     }
   | {readonly type: 'unavailable'};
 
--- a/src/core/request_router.ts
+++ b/src/core/request_router.ts
@@ -33,6 +33,8 @@
 const RETRY_RESERVE = 10;
 /** Time after its deadline in which an agent may still say how a request stands. */
 const DEADLINE_GRACE_MS = 500;
+/** Largest difference between the clocks of two gates. */
+const CLOCK_SKEW_MS = 1000;
 /** Wait before an attempt that its agent has not seen is sealed. */
 const UNSEEN_GRACE_MS = 300;
 /** How long a late answer may still replace an unknown outcome. */
@@ -519,8 +521,7 @@
     const state = this.requests.get(req);
     if (!state || state.phase === Phase.SETTLED) return;
     if (reply.type === 'unavailable') return this.onClaimUnavailable(state);
-    if (reply.type === 'conflict')
-      return this.onForeignRow(state, reply.version, reply.row);
+    if (reply.type === 'conflict') return this.onForeignRow(state, reply);
     state.claimVersion = reply.version;
     switch (state.phase) {
       case Phase.CLAIMING:
@@ -562,11 +563,11 @@
   /** Another send has written the claim row. */
   private onForeignRow(
     state: RequestState,
-    version: number,
-    row?: ClaimRow,
+    reply: Extract<ClaimReply, {type: 'conflict'}>,
   ): void {
+    const {row} = reply;
     this.release(state);
-    state.claimVersion = version;
+    state.claimVersion = reply.version;
     if (!row) return this.proceed(state);
     if (row.hash !== state.claim!.hash) return this.settle(state, keyReused());
     switch (row.state) {
@@ -574,12 +575,26 @@
         return this.settle(state, row.settlement!);
       case ClaimState.CLOSED:
         state.attempt = row.attempt;
-        return this.proceed(state);
+        return this.onClosedRow(state, reply.closedAgoMs ?? 0);
       case ClaimState.OPEN:
         return this.follow(state, row);
     }
   }
 
+  /**
+   * Whoever closed the row has told its caller that nothing ran. A send that was
+   * accepted before must not run either, or a caller that sends anew under
+   * another key would have it run twice.
+   */
+  private onClosedRow(state: RequestState, closedAgoMs: number): void {
+    const ageMs = this.nowMs - state.acceptedAtMs;
+    if (closedAgoMs > ageMs + CLOCK_SKEW_MS) return this.proceed(state);
+    this.settle(
+      state,
+      notRun('another send with the same key ended not run; send it again'),
+    );
+  }
+
   /** No attempt runs: starts one, or closes the row when it is not wanted. */
   private proceed(state: RequestState): void {
     if (state.giveUp) return this.abandon(state, state.giveUp);
--- a/src/core/request_state.ts
+++ b/src/core/request_state.ts
@@ -34,6 +34,7 @@
   readonly service: string;
   readonly class: JobClass;
   readonly idempotent: boolean;
+  readonly acceptedAtMs: number;
   readonly deadlineAtMs: number;
   readonly claim?: {readonly key: string; readonly hash: string};
   /** Id that agents know the run by; another gate's id when the claim is shared. */
@@ -63,6 +64,7 @@
     service: input.service,
     class: input.class,
     idempotent: input.idempotent,
+    acceptedAtMs: nowMs,
     deadlineAtMs: nowMs + input.remainingMs,
     claim: input.claim,
     run: input.req,
--- a/src/daemons/router_task.ts
+++ b/src/daemons/router_task.ts
@@ -4,6 +4,7 @@
 import {
   type ClaimReply,
   type ClaimRow,
+  ClaimState,
   type ClaimWrite,
   type RouterEffect,
   type RouterInput,
@@ -11,7 +12,7 @@
 } from '../core/request_messages.js';
 import {RequestRouter} from '../core/request_router.js';
 import {Task, type Mailbox} from '../core/task.js';
-import {type TableService} from '../platform/table_service.js';
+import {type Row, type TableService} from '../platform/table_service.js';
 import {checkValue} from '../protocol/check.js';
 import {type AgentMessage} from '../protocol/messages.js';
 import {claimRowSchema} from '../protocol/rows.js';
@@ -45,6 +46,11 @@
       readonly reply: ClaimReply;
     };
 
+interface StoredClaim {
+  readonly row: ClaimRow;
+  readonly closedWallMs: number | undefined;
+}
+
 interface HeldRequest {
   readonly input: SubmitInput;
   readonly body: RequestBody;
@@ -225,26 +231,39 @@
   private async tryClaim(write: ClaimWrite): Promise<ClaimReply> {
     try {
       const reply = await this.tables.write(
-        {...write, value: storeClaim(write.row)},
+        {...write, value: this.storeClaim(write.row)},
         CLAIM_TIMEOUT_MS,
       );
       if (reply.type === 'committed') return reply;
       if (reply.type === 'fenced') return {type: 'unavailable'};
-      return {
-        type: 'conflict',
-        version: reply.row?.version ?? 0,
-        row: reply.row && loadClaim(reply.row.value),
-      };
+      return this.conflictReply(reply.row);
     } catch {
       return {type: 'unavailable'};
     }
   }
 
+  private conflictReply(row: Row | undefined): ClaimReply {
+    if (!row) return {type: 'conflict', version: 0};
+    const {row: claim, closedWallMs} = loadClaim(row.value);
+    const closedAgoMs =
+      closedWallMs === undefined
+        ? undefined
+        : this.ctx.clock.wallMs() - closedWallMs;
+    return {type: 'conflict', version: row.version, row: claim, closedAgoMs};
+  }
+
+  private storeClaim(row: ClaimRow): unknown {
+    const closedWallMs =
+      row.state === ClaimState.CLOSED ? this.ctx.clock.wallMs() : undefined;
+    const settlement = row.settlement && storeSettlement(row.settlement);
+    return {...row, closedWallMs, settlement};
+  }
+
   /** Writes the end of a claim, however long the table service is away. */
   private async recordEnd(write: ClaimWrite): Promise<void> {
     try {
       const reply = await this.tables.write(
-        {...write, value: storeClaim(write.row)},
+        {...write, value: this.storeClaim(write.row)},
         RECORD_END_TIMEOUT_MS,
       );
       if (reply.type === 'conflict')
@@ -268,26 +287,20 @@
     version: number,
     value: unknown,
   ): Promise<void> {
-    const row = value === undefined ? undefined : loadClaim(value);
+    const row = value === undefined ? undefined : loadClaim(value).row;
     const sameRun = row?.run === write.row.run && row.hash === write.row.hash;
     if (!sameRun || row.settlement?.outcome === 'done') return;
     await this.tables.write(
-      {...write, expectVersion: version, value: storeClaim(write.row)},
+      {...write, expectVersion: version, value: this.storeClaim(write.row)},
       RECORD_END_TIMEOUT_MS,
     );
   }
 }
 
-function storeClaim(row: ClaimRow): unknown {
-  return {
-    ...row,
-    settlement: row.settlement && storeSettlement(row.settlement),
-  };
-}
-
-function loadClaim(value: unknown): ClaimRow {
+function loadClaim(value: unknown): StoredClaim {
   const checked = checkValue(value, claimRowSchema);
   if (!checked.ok) throw new TypeError('the claim row is damaged');
-  const {settlement, ...rest} = checked.value;
-  return {...rest, settlement: settlement && loadSettlement(settlement)};
+  const {settlement, closedWallMs, ...rest} = checked.value;
+  const row = {...rest, settlement: settlement && loadSettlement(settlement)};
+  return {row, closedWallMs};
 }
--- a/src/protocol/rows.ts
+++ b/src/protocol/rows.ts
@@ -46,6 +46,8 @@
   run: z.string(),
   attempt: z.number().int(),
   agent: processRefSchema.optional(),
+  /** When it was closed, by the clock of the gate that closed it. */
+  closedWallMs: z.number().optional(),
   settlement: storedSettlementSchema.optional(),
 });
 
