Planner: no pass over all workers when a worker comes up, one order per pass

Cause: at 1000 workers the scale measurement did not end in 90 s. Each worker that came up laid all guarantees out afresh, and each lane that failed sorted all lanes again. Change: missing guarantees take open room from the live index, and are laid out afresh once a second at most; lanes are sorted once per placement; former places are found by key.

--- a/measure/scale.ts
+++ b/measure/scale.ts
@@ -79,6 +79,8 @@
         },
       });
     }
+    this.nowMs += 2000;
+    this.handle({type: 'tick'});
     this.handle({type: 'inventoryKnown'});
   }
 
--- a/src/planning/guarantee_layout.ts
+++ b/src/planning/guarantee_layout.ts
@@ -5,6 +5,7 @@
  * bound cells are disjoint. The end of a job only frees accelerators and so keeps
  * this true; every placement is checked against it.
  */
+import {getOrAdd} from '../core/fair_queue.js';
 import {type Pool} from '../core/tables.js';
 import {
   type Block,
@@ -14,7 +15,7 @@
   bitCount,
   fullMask,
 } from './buddy_pool.js';
-import {type Cell, cellSize, cellsOf} from './cells.js';
+import {type Cell, cellSize, cellsOf, signatureOf} from './cells.js';
 import {FixedWork} from './fixed_work.js';
 import {type Job} from './job.js';
 import {type SiteMap, findCell} from './site_map.js';
@@ -34,6 +35,8 @@
 
 export class GuaranteeLayout {
   private bindings: Binding[] = [];
+  /** Bindings without a place. */
+  private unmetCount = 0;
   private byWorkspace = new Map<string, Binding[]>();
 
   constructor(
@@ -59,7 +62,7 @@
   }
 
   get hasUnmet(): boolean {
-    return this.bindings.some(b => b.blocks.length === 0);
+    return this.unmetCount > 0;
   }
 
   /** Takes over the guarantees of a pool and lays all of them out afresh. */
@@ -78,6 +81,7 @@
         cellSize(b.cell, this.perWorker) - cellSize(a.cell, this.perWorker),
     );
     this.byWorkspace = groupByWorkspace(this.bindings);
+    this.unmetCount = this.bindings.length;
     this.layOut(former, jobs);
   }
 
@@ -88,13 +92,14 @@
     this.layOut(former, jobs);
   }
 
-  /** Finds places for the guarantees that have none. */
-  bindMissing(jobs: Iterable<Job>): void {
-    const fixed = new FixedWork(jobs);
-    const missing = this.bindings.filter(b => b.blocks.length === 0);
-    for (const binding of missing)
-      this.tryBind(binding, this.freshPool(fixed), fixed);
-    this.pin(fixed);
+  /** Gives open room to the guarantees that have no place. */
+  bindMissing(): void {
+    if (this.unmetCount === 0) return;
+    for (const binding of this.bindings) {
+      if (binding.blocks.length > 0) continue;
+      const blocks = findCell(this.sites.uncommitted, binding.cell);
+      if (blocks) this.bindTo(binding, blocks);
+    }
   }
 
   /** Drops the places on a worker that is gone. */
@@ -140,7 +145,7 @@
   private layOut(former: readonly Binding[], jobs: Iterable<Job>): void {
     const fixed = new FixedWork(jobs);
     const pool = this.freshPool(fixed);
-    const places = former.filter(b => b.blocks.length > 0);
+    const places = groupByCell(former.filter(b => b.blocks.length > 0));
     for (const binding of this.bindings) {
       if (this.tryKeep(binding, places, pool, fixed)) continue;
       this.tryBind(binding, pool, fixed);
@@ -151,26 +156,27 @@
   /** Keeps a former place of an equal cell of the same workspace. */
   private tryKeep(
     binding: Binding,
-    places: Binding[],
+    places: Map<string, Binding[]>,
     pool: BuddyPool,
     fixed: FixedWork,
   ): boolean {
-    const at = places.findIndex(
-      p =>
-        p.workspace === binding.workspace &&
-        sameCell(p.cell, binding.cell) &&
-        this.isEligible(p.blocks, binding.workspace, pool, fixed),
-    );
-    if (at < 0) return false;
-    const [place] = places.splice(at, 1);
-    this.bindTo(binding, place.blocks, pool);
-    return true;
+    const alike = places.get(cellKey(binding)) ?? [];
+    for (let place = alike.pop(); place; place = alike.pop()) {
+      if (!this.isEligible(place.blocks, binding.workspace, pool, fixed))
+        continue;
+      this.bindTo(binding, place.blocks);
+      takeFrom(pool, place.blocks);
+      return true;
+    }
+    return false;
   }
 
   private tryBind(binding: Binding, pool: BuddyPool, fixed: FixedWork): void {
     const own = this.aroundOwnWork(binding, pool, fixed);
     const blocks = own ?? findCell(pool, binding.cell);
-    if (blocks) this.bindTo(binding, blocks, pool);
+    if (!blocks) return;
+    this.bindTo(binding, blocks);
+    takeFrom(pool, blocks);
   }
 
   /** A place around fixed work of the same workspace, which no other workspace could use. */
@@ -249,21 +255,17 @@
     return pool;
   }
 
-  private bindTo(
-    binding: Binding,
-    blocks: readonly Block[],
-    pool: BuddyPool,
-  ): void {
+  private bindTo(binding: Binding, blocks: readonly Block[]): void {
     binding.blocks = blocks;
-    for (const block of blocks) {
-      this.sites.bind(block);
-      pool.setTaken(block.worker, pool.takenMask(block.worker) | block.mask);
-    }
+    this.unmetCount--;
+    for (const block of blocks) this.sites.bind(block);
   }
 
   private unbind(binding: Binding): void {
+    if (binding.blocks.length === 0) return;
     for (const block of binding.blocks) this.sites.unbind(block);
     binding.blocks = [];
+    this.unmetCount++;
   }
 
   private pin(fixed: FixedWork): void {
@@ -273,10 +275,23 @@
   }
 }
 
-function sameCell(a: Cell, b: Cell): boolean {
-  return a.kind === 'block'
-    ? b.kind === 'block' && a.size === b.size
-    : b.kind === 'workers' && a.count === b.count;
+function takeFrom(pool: BuddyPool, blocks: readonly Block[]): void {
+  for (const {worker, mask} of blocks) {
+    pool.setTaken(worker, pool.takenMask(worker) | mask);
+  }
+}
+
+/** Equal for equal cells of one workspace. */
+function cellKey({workspace, cell}: Binding): string {
+  return `${workspace}/${signatureOf([cell])}`;
+}
+
+function groupByCell(bindings: readonly Binding[]): Map<string, Binding[]> {
+  const groups = new Map<string, Binding[]>();
+  for (const binding of bindings) {
+    getOrAdd(groups, cellKey(binding), () => [] as Binding[]).push(binding);
+  }
+  return groups;
 }
 
 function groupByWorkspace(
@@ -284,9 +299,7 @@
 ): Map<string, Binding[]> {
   const groups = new Map<string, Binding[]>();
   for (const binding of bindings) {
-    const group = groups.get(binding.workspace);
-    if (group) group.push(binding);
-    else groups.set(binding.workspace, [binding]);
+    getOrAdd(groups, binding.workspace, () => [] as Binding[]).push(binding);
   }
   return groups;
 }
--- a/src/planning/guarantee_planner.ts
+++ b/src/planning/guarantee_planner.ts
@@ -190,7 +190,6 @@
       this.sites.remove(site.id);
     this.sites.setUsable(site, !this.health.isQuarantined(site.id));
     this.onMoreCapacity();
-    this.repairLayout();
   }
 
   private onWorkerDown(worker: string): void {
@@ -212,7 +211,7 @@
     this.drains.releaseAll();
     this.layout.unbindWorker(site.id);
     this.sites.setUsable(site, false);
-    this.layout.bindMissing(this.jobs.values());
+    this.layout.bindMissing();
     this.repairLayout();
     this.capacityVersion++;
   }
@@ -226,7 +225,7 @@
     this.capacityVersion++;
     if (!this.layout.hasUnmet) return;
     this.drains.releaseAll();
-    this.layout.bindMissing(this.jobs.values());
+    this.layout.bindMissing();
   }
 
   /** Lays all guarantees out afresh: small cells may stand where a large one needs room. */
@@ -350,30 +349,33 @@
    * job borrows what its owner takes back in the same round.
    */
   private schedule(): void {
-    for (let pass = 0; pass < SCHEDULING_PASSES;) {
-      const lane = this.nextLane(pass);
-      if (!lane) {
-        pass++;
-        continue;
-      }
-      const job = lane.jobs[0];
-      const mayBorrow = pass === SCHEDULING_PASSES - 1;
-      const placement = this.isOverLimit(job)
-        ? undefined
-        : this.search.find(job, this.nowMs, mayBorrow);
-      if (placement) this.start(job, placement);
-      else lane.failedAtVersion[pass] = this.capacityVersion;
+    for (let pass = 0; pass < SCHEDULING_PASSES; pass++) {
+      while (this.placeFirst(pass));
     }
   }
 
-  /** The first lane in order that has not been tried since capacity last grew. */
-  private nextLane(pass: number): Lane | undefined {
+  /** Places the first waiting job that can be placed; false when none can. */
+  private placeFirst(pass: number): boolean {
     const isUntried = (lane: Lane) =>
       lane.failedAtVersion[pass] !== this.capacityVersion;
-    if (![...this.queue.allLanes()].some(isUntried)) return undefined;
+    if (!this.queue.some(isUntried)) return false;
     const share = (workspace: string) =>
       this.options.fairShare ? this.usedShare(workspace) : 0;
-    return this.queue.inOrder(share).find(isUntried);
+    for (const lane of this.queue.inOrder(share)) {
+      if (isUntried(lane) && this.tryLane(lane, pass)) return true;
+    }
+    return false;
+  }
+
+  private tryLane(lane: Lane, pass: number): boolean {
+    const job = lane.jobs[0];
+    const mayBorrow = pass === SCHEDULING_PASSES - 1;
+    const placement = this.isOverLimit(job)
+      ? undefined
+      : this.search.find(job, this.nowMs, mayBorrow);
+    if (placement) this.start(job, placement);
+    else lane.failedAtVersion[pass] = this.capacityVersion;
+    return placement !== undefined;
   }
 
   private usedShare(workspace: string): number {
--- a/src/planning/job_queue.ts
+++ b/src/planning/job_queue.ts
@@ -61,6 +61,11 @@
     );
   }
 
+  some(predicate: (lane: Lane) => boolean): boolean {
+    for (const lane of this.lanes.values()) if (predicate(lane)) return true;
+    return false;
+  }
+
   allLanes(): Iterable<Lane> {
     return this.lanes.values();
   }
