Path: schemas and token digests are made once

Timing the parts: decoding one message took 78 us, since the envelope's schema was built and compiled for each; a token took 36 us, since all digests were computed anew. Ruled out: the router (6 us a request) and encoding (2 us). Change: one envelope schema for each direction, one table of token digests.

--- a/src/daemons/caller_api.ts
+++ b/src/daemons/caller_api.ts
@@ -13,7 +13,7 @@
 import {Outcome, type Settlement} from '../core/outcome.js';
 import {type GateSettings} from '../protocol/settings.js';
 import {type RequestService} from './request_service.js';
-import {bearerToken, findByToken} from './tokens.js';
+import {TokenTable, bearerToken} from './tokens.js';
 
 const OUTCOME_HEADER = 'x-lagoonshunt-outcome';
 const RETRY_AFTER_S = 1;
@@ -32,10 +32,14 @@
 }
 
 export class CallerApi {
+  private readonly tokens: TokenTable<GateSettings['workspaceTokens'][number]>;
+
   constructor(
-    private readonly settings: GateSettings,
+    settings: GateSettings,
     private readonly service: RequestService,
-  ) {}
+  ) {
+    this.tokens = new TokenTable(settings.workspaceTokens);
+  }
 
   register(http: FastifyInstance): void {
     http.post<{Params: KindParams; Querystring: WaitQuery}>(
@@ -108,9 +112,7 @@
   /** Workspace of the caller's token; `X-Workspace`, when it is sent, must agree. */
   private authorize(req: FastifyRequest): string {
     const token = bearerToken(req.headers.authorization);
-    const entry = token
-      ? findByToken(this.settings.workspaceTokens, token)
-      : undefined;
+    const entry = token ? this.tokens.find(token) : undefined;
     if (!entry)
       throw new UnauthorizedError(
         'expected "Authorization: Bearer" with the token of a workspace, found none that is known; ask an operator for a token',
--- a/src/daemons/tokens.ts
+++ b/src/daemons/tokens.ts
@@ -6,16 +6,26 @@
   return timingSafeEqual(digest(a), digest(b));
 }
 
-/** The entry whose token was shown. Every entry is compared, also after a match. */
-export function findByToken<T extends {readonly token: string}>(
-  entries: readonly T[],
-  shown: string,
-): T | undefined {
-  let found: T | undefined;
-  for (const entry of entries) {
-    if (equalSecrets(entry.token, shown)) found = entry;
+/** Entries by their secret tokens; the digests are computed once. */
+export class TokenTable<T extends {readonly token: string}> {
+  private readonly digests: readonly {
+    readonly entry: T;
+    readonly digest: Buffer;
+  }[];
+
+  constructor(entries: readonly T[]) {
+    this.digests = entries.map(entry => ({entry, digest: digest(entry.token)}));
+  }
+
+  /** The entry whose token was shown. Every entry is compared, also after a match. */
+  find(shown: string): T | undefined {
+    const shownDigest = digest(shown);
+    let found: T | undefined;
+    for (const known of this.digests) {
+      if (timingSafeEqual(known.digest, shownDigest)) found = known.entry;
+    }
+    return found;
   }
-  return found;
 }
 
 /** Reads the token of an `Authorization: Bearer` header. */
--- a/src/protocol/codec.ts
+++ b/src/protocol/codec.ts
@@ -19,17 +19,27 @@
   return packr.pack(envelope);
 }
 
+// Schemas are compiled once: building one for each message costs more than checking it.
+const gateEnvelopeSchema = z.strictObject({
+  stamp: stampSchema,
+  body: gateMessageSchema,
+});
+const agentEnvelopeSchema = z.strictObject({
+  stamp: stampSchema,
+  body: agentMessageSchema,
+});
+
 /** Decodes a message that a gate sent. */
 export function decodeFromGate(data: Uint8Array): Envelope<GateMessage> {
-  return decode(data, gateMessageSchema);
+  return decode(data, gateEnvelopeSchema);
 }
 
 /** Decodes a message that an agent sent. */
 export function decodeFromAgent(data: Uint8Array): Envelope<AgentMessage> {
-  return decode(data, agentMessageSchema);
+  return decode(data, agentEnvelopeSchema);
 }
 
-function decode<T>(data: Uint8Array, body: z.ZodType<T>): Envelope<T> {
+function decode<T>(data: Uint8Array, schema: z.ZodType<T>): T {
   let value: unknown;
   try {
     value = packr.unpack(data);
@@ -39,8 +49,8 @@
       {cause: err},
     );
   }
-  const result = z.strictObject({stamp: stampSchema, body}).safeParse(value);
-  if (result.success) return result.data as Envelope<T>;
+  const result = schema.safeParse(value);
+  if (result.success) return result.data;
   const issue = result.error.issues[0];
   throw new ProtocolError(
     `a message does not match its schema at ${issue.path.join('.')}: ${issue.message}; check that both ends run the same version`,
