--- a/eslint.config.js
+++ b/eslint.config.js
@@ -70,6 +70,9 @@
       ],
     },
   },
-  {files: ['**/*.mjs'], languageOptions: {globals: {console: 'readonly', process: 'readonly'}}},
+  {
+    files: ['**/*.mjs'],
+    languageOptions: {globals: {console: 'readonly', process: 'readonly'}},
+  },
   ...folders.map(importRule),
 ];
