Model of claims: writes are conditional on the row's version; a closed claim binds earlier sends

Cause: the model, told that a closed claim binds earlier sends, broke at once: its writes were conditional on the attempt, so a gate could re-point a row that another had closed. The code writes on condition of the version, which a close changes.

--- a/spec/claim_model.ts
+++ b/spec/claim_model.ts
@@ -45,6 +45,8 @@
   readonly attempt: number;
   readonly agent: number;
   readonly life: number;
+  /** Grows with each write. */
+  readonly version: number;
 }
 
 interface Gate {
@@ -60,7 +62,7 @@
   readonly attempt: number;
   readonly agent: number;
   readonly life: number;
-  /** Attempt of the row that the next write is conditional on; 0 when none was seen. */
+  /** Version of the row that the next write is conditional on; 0 when none was seen. */
   readonly expected: number;
   /** True once another gate told not_run after this one had taken the request. */
   readonly bound: boolean;
@@ -356,20 +358,20 @@
       : 'not_run';
     return [tell(state, g, outcome, `gate ${g} can't write its claim`)];
   }
-  const expected =
-    (state.row?.attempt ?? 0) === gate.expected &&
-    (state.row === null || state.row.state === 'closed' || gate.expected > 0);
+  const version = state.row?.version ?? 0;
+  const expected = version === gate.expected;
   const row: Row = {
     state: 'open',
     attempt: gate.attempt,
     agent: gate.agent,
     life: gate.life,
+    version: version + 1,
   };
   if (!expected && rules.repointIsConditional)
     return [readForeign(state, g, rules)];
   if (state.row?.state === 'ended') return [readForeign(state, g, rules)];
   const taken = {
-    ...withGate(state, g, {phase: 'claimed', expected: gate.attempt}),
+    ...withGate(state, g, {phase: 'claimed', expected: row.version}),
     row,
   };
   const steps: Step<ClaimState>[] = [
@@ -413,7 +415,7 @@
     const next = withGate(state, g, {
       phase: 'claiming',
       attempt: row.attempt + 1,
-      expected: row.attempt,
+      expected: row.version,
     });
     return {label: `gate ${g} reads a closed claim`, next};
   }
@@ -422,7 +424,7 @@
     attempt: row.attempt,
     agent: row.agent,
     life: row.life,
-    expected: row.attempt,
+    expected: row.version,
   });
   return {label: `gate ${g} follows attempt ${row.attempt}`, next};
 }
@@ -466,8 +468,10 @@
       `gate ${g} sees that agent ${gate.agent} was restarted`,
     );
   const matches =
-    state.row?.attempt === gate.attempt && state.row.state === 'open';
-  const row: Row | null = matches ? {...state.row!, state: 'ended'} : state.row;
+    state.row?.version === gate.expected && state.row.state === 'open';
+  const row: Row | null = matches
+    ? {...state.row!, state: 'ended', version: state.row!.version + 1}
+    : state.row;
   return tell(
     {...state, row},
     g,
@@ -506,9 +510,16 @@
   if (!state.up)
     return [tell(state, g, 'unknown', `gate ${g} can't close the claim`)];
   const matches =
-    state.row?.attempt === gate.attempt && state.row.state === 'open';
+    state.row?.version === gate.expected && state.row.state === 'open';
   if (!matches) return [readForeign(state, g, rules)];
-  const closed = {...state, row: {...state.row!, state: 'closed' as const}};
+  const closed = {
+    ...state,
+    row: {
+      ...state.row!,
+      state: 'closed' as const,
+      version: state.row!.version + 1,
+    },
+  };
   return [tell(closed, g, 'not_run', `gate ${g} closes the claim`)];
 }
 
