A body over the limit is read to its end before it is refused

Ruled out: a fault of the test (20 callers at once fail every time with the old code). Sleep stands once.

--- a/src/daemons/agent_daemon.ts
+++ b/src/daemons/agent_daemon.ts
@@ -14,6 +14,7 @@
 import {reportErrors} from './http_errors.js';
 import {type ProcessContext, makeProcessContext} from './process_context.js';
 import {TimelineTask} from './timeline_task.js';
+import {sleep} from '../plugins/sleep.js';
 
 const TICK_MS = 100;
 const DRAIN_CHECK_MS = 50;
@@ -119,9 +120,3 @@
     return `${this.ctx.metrics.format()}lagoonshunt_link_bytes_sent ${this.links.bytesSent()}\n`;
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/src/daemons/gang_task.ts
+++ b/src/daemons/gang_task.ts
@@ -18,6 +18,7 @@
 import {type AgentSettings} from '../protocol/settings.js';
 import {type AgentLinkEvent, type AgentSend} from './agent_links.js';
 import {type ProcessContext} from './process_context.js';
+import {sleep} from '../plugins/sleep.js';
 
 const WAIT_MS = 10_000;
 const RETRY_PAUSE_MS = 200;
@@ -230,9 +231,3 @@
       return ShareState.STOPPED;
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/src/daemons/gate_daemon.ts
+++ b/src/daemons/gate_daemon.ts
@@ -7,6 +7,7 @@
 import {TABLE_SERVICE, type TableService} from '../platform/table_service.js';
 import {type GateAddress} from '../protocol/messages.js';
 import {type GateSettings} from '../protocol/settings.js';
+import {refuseLargeBodies} from './body_limit.js';
 import {CallerApi} from './caller_api.js';
 import {ConfigTask} from './config_task.js';
 import {type Daemon, type DaemonAddresses} from './daemon.js';
@@ -22,6 +23,7 @@
 import {RequestService} from './request_service.js';
 import {RouterTask} from './router_task.js';
 import {TimelineCollector} from './timeline_collector.js';
+import {sleep} from '../plugins/sleep.js';
 
 const TICK_MS = 100;
 const DRAIN_CHECK_MS = 50;
@@ -157,6 +159,7 @@
     this.http.addHook('onRequestAbort', async req => {
       this.openCalls.delete(req);
     });
+    refuseLargeBodies(this.http, this.settings.limits.bodyBytes);
     new CallerApi(this.settings, this.requests).register(this.http);
     new OperatorApi(this.settings, this.config, {
       status: () => this.status(),
@@ -280,9 +283,3 @@
     });
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/src/plugins/http_table_service.ts
+++ b/src/plugins/http_table_service.ts
@@ -15,6 +15,7 @@
   type WriteReply,
 } from '../platform/table_service.js';
 import {SystemClock} from './system_clock.js';
+import {sleep} from './sleep.js';
 
 const CONNECTIONS = 4;
 /** Longest wait for one answer of the service. */
@@ -363,12 +364,6 @@
   return batch;
 }
 
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, ms);
-  });
-}
-
 export const httpTableServicePlugin: Plugin = {
   register(kernel: Kernel) {
     kernel.provide(
--- /dev/null
+++ b/src/plugins/sleep.ts
@@ -0,0 +1,6 @@
+/** Resolves after `ms`. */
+export function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => {
+    setTimeout(resolve, ms);
+  });
+}
--- a/tests/features/bad_input.feature
+++ b/tests/features/bad_input.feature
@@ -34,5 +34,6 @@
       | an edit with an unknown pool       | 422    | InvalidDocumentError | add the pool first     |
       | an edit by a caller                | 401    | UnauthorizedError   | operatorTokens          |
       | an unknown table                   | 404    | NotFoundError       | routes and pools        |
+    And 20 callers that send a body over the limit at once are all told so
     And a request of one workspace is not shown to another
     And a gang larger than its workspace's limit is refused for good
--- a/tests/steps/bad_input_steps.ts
+++ b/tests/steps/bad_input_steps.ts
@@ -215,6 +215,22 @@
   },
 );
 
+Then(
+  '{int} callers that send a body over the limit at once are all told so',
+  async function (this: SystemWorld, count: number) {
+    const [gate] = this.cluster.gates;
+    const call = callNamed('a body over the limit', this);
+    const answers = Array.from({length: count}, () =>
+      request(gate.http + call.path, {
+        method: 'POST',
+        headers: call.headers,
+        body: call.body,
+      }).then(res => res.body.dump().then(() => res.statusCode)),
+    );
+    assert.deepEqual(new Set(await Promise.all(answers)), new Set([413]));
+  },
+);
+
 Then(
   'a request of one workspace is not shown to another',
   async function (this: SystemWorld) {
