A layout spread by losses does not make a job look impossible

Cause: a test written for the compaction of guarantees failed: after workers were lost and came back, a gang of two whole workers was refused for good (422), since no rack was free of the spread guarantees. Change: before a job is refused as impossible, the guarantees are packed together and it is judged again. Tests for this, and for the second scheduling pass.

--- a/src/planning/guarantee_planner.ts
+++ b/src/planning/guarantee_planner.ts
@@ -82,6 +82,8 @@
   private capacityVersion = 0;
   private lastRepairMs = 0;
   private lastCompactionMs = 0;
+  /** Capacity version of the newest compaction. */
+  private compactedAtVersion = -1;
   private effects: PlannerEffect[] = [];
   private nowMs = 0;
 
@@ -488,6 +490,7 @@
     this.drains.releaseAll();
     this.layout.rebuild(this.jobs.values(), false);
     this.capacityVersion++;
+    this.compactedAtVersion = this.capacityVersion;
   }
 
   private isStarving(job: Job): boolean {
@@ -519,11 +522,20 @@
     if (share.limit !== undefined && job.size > share.limit) {
       return `it needs ${job.size} accelerators and workspace "${workspace}" may use ${share.limit} of pool "${this.pool.name}"; ask for fewer or have the limit raised`;
     }
-    if (!this.inventoryKnown || this.layout.hasUnmet || this.fitsWhenEmpty(job))
+    if (!this.inventoryKnown || this.layout.hasUnmet) return undefined;
+    if (this.fitsWhenEmpty(job) || this.fitsOnceCompacted(job)) {
       return undefined;
+    }
     return `it needs cells that pool "${this.pool.name}" does not have for workspace "${workspace}" even when it is idle; ask for a smaller shape`;
   }
 
+  /** Guarantees that a loss has spread must not make a job look impossible. */
+  private fitsOnceCompacted(job: Job): boolean {
+    if (this.compactedAtVersion === this.capacityVersion) return false;
+    this.compactLayout();
+    return this.fitsWhenEmpty(job);
+  }
+
   /** Tries the job in a pool without any work, apart from the guarantees of others. */
   private fitsWhenEmpty(job: Job): boolean {
     const empty = new BuddyPool();
--- a/tests/features/planning.feature
+++ b/tests/features/planning.feature
@@ -34,6 +34,21 @@
     And one job of "bo" on the reserved worker ends
     Then the job of "ana" runs before the new job of "bo"
 
+  Scenario: Guarantees that a loss has spread are packed together for a large job
+    Given a pool of 6 workers with three guarantees of 8 for "ana"
+    When only one worker of each rack is left
+    And all workers are back
+    And "bo" submits a job of 2 whole workers
+    And 2 minutes pass
+    Then the job of "bo" runs
+
+  Scenario: Nothing is borrowed that its owner takes back in the same round
+    Given a pool of 1 workers with a guarantee of 8 for "ana"
+    When "ana" submits a job of 8 accelerators
+    And "bo" and then "ana" submit preemptible jobs
+    And the first job of "ana" ends
+    Then the preemptible job of "ana" runs and nothing was stopped
+
   Scenario: A worker that fails everything is told from a job that fails everywhere
     Given a pool of 4 workers without guarantees
     When different jobs fail 3 times in a row on one worker and succeed elsewhere
--- a/tests/steps/planning_steps.ts
+++ b/tests/steps/planning_steps.ts
@@ -170,6 +170,50 @@
   bench.do({type: 'tick'});
 });
 
+Given(
+  'a pool of {int} workers with three guarantees of {int} for {string}',
+  (workers: number, size: number, workspace: string) => {
+    const sizes = [size, size, size];
+    bench = new PlanBench(workers, poolOf({[workspace]: sizes, bo: []}));
+  },
+);
+
+When('only one worker of each rack is left', () => {
+  for (const worker of ['w0', 'w2', 'w4']) {
+    bench.do({type: 'workerDown', worker});
+  }
+  assert.deepEqual(bench.planner.status().unmetGuarantees, []);
+});
+
+When('all workers are back', () => {
+  for (const i of [0, 2, 4]) {
+    const site = {id: `w${i}`, rack: `r${i / 2}`, accelerators: 8};
+    bench.do({type: 'workerUp', site});
+  }
+});
+
+When(
+  '{string} and then {string} submit preemptible jobs',
+  (first: string, second: string) => {
+    const batch = {preemptible: true, class: JobClass.BATCH};
+    bench.submit(first, 4, batch);
+    bench.nowMs += 1000;
+    bench.submit(second, 8, batch);
+  },
+);
+
+When('the first job of {string} ends', (workspace: string) => {
+  bench.end(bench.runningOf(workspace)[0], JobEnd.DONE);
+});
+
+Then(
+  'the preemptible job of {string} runs and nothing was stopped',
+  (workspace: string) => {
+    assert.equal(bench.runningOf(workspace).length, 1);
+    assert.deepEqual(bench.stopped, []);
+  },
+);
+
 When('the stopped jobs have ended', () => {
   for (const job of bench.stopped.splice(0)) bench.end(job, JobEnd.STOPPED);
 });
@@ -247,7 +291,10 @@
 });
 
 Then('the job of {string} runs', (workspace: string) => {
-  assert.ok(special.startsWith(workspace) && bench.placed.has(special));
+  assert.ok(
+    special.startsWith(workspace) && bench.placed.has(special),
+    'it waits',
+  );
 });
 
 Then('{int} jobs of {string} run', (count: number, workspace: string) => {
