--- a/eslint.config.js
+++ b/eslint.config.js
@@ -54,7 +54,16 @@
 }
 
 export default [
-  {ignores: ['dist/', 'node_modules/', 'eslint.config.js', '**/*.cjs']},
+  {
+    ignores: [
+      'dist/',
+      'target/',
+      'journal/',
+      'node_modules/',
+      'eslint.config.js',
+      '**/*.cjs',
+    ],
+  },
   ...gts,
   {
     rules: {
--- /dev/null
+++ b/src/agent/job_agent.ts
@@ -0,0 +1,266 @@
+/** An agent: keeps its worker's runs alive, reports them, and carries out orders. */
+import {type Clock} from '../core/clock.js';
+import {HybridClock} from '../core/hybrid_clock.js';
+import {decodeGate} from '../jobs/run_record.js';
+import {type WorkerReport} from '../jobs/worker_pool.js';
+import {type EventLog, type PartLog} from '../plugins/event_log.js';
+import {type Metrics} from '../plugins/metrics.js';
+import {type StateStore} from '../ports/state_store.js';
+import {type TaskWorker} from '../ports/task_worker.js';
+import {
+  type AgentReport,
+  type GateJobMessage,
+} from '../protocol/job_messages.js';
+import {GateLinks} from './gate_links.js';
+import {LeaseKeeper, type LeaseTimes, type Moment} from './lease_keeper.js';
+import {WorkerDriver} from './worker_driver.js';
+
+/** Time between two reports, in ms. */
+const REPORT_MS = 500;
+const TICK_MS = 100;
+/** Time without a seat holder after which the store is asked for gates, in ms. */
+const SEARCH_AFTER_MS = 1000;
+const SEARCH_TIMEOUT_MS = 1500;
+
+export interface JobAgentOptions {
+  readonly name: string;
+  readonly seedGates: readonly string[];
+  readonly lease: LeaseTimes;
+  /** Silence after which a link is given up, in ms. */
+  readonly linkTimeoutMs: number;
+}
+
+export interface JobAgentContext {
+  readonly store: StateStore;
+  readonly worker: TaskWorker;
+  readonly clock: Clock;
+  readonly logs: EventLog;
+  readonly metrics: Metrics;
+}
+
+export class JobAgent {
+  private readonly links: GateLinks;
+  private readonly lease: LeaseKeeper;
+  private readonly log: PartLog;
+  private readonly sentMoments = new Map<number, Moment>();
+  private driver: WorkerDriver | undefined;
+  private epoch = 0;
+  /** Link of the seat holder. */
+  private leader: string | undefined;
+  private reportedAtMs = -Infinity;
+  private isNewsPending = false;
+  private searchedAtMs: number;
+  private isSearching = false;
+  private ticker: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly options: JobAgentOptions,
+    private readonly ctx: JobAgentContext,
+  ) {
+    const {clock, logs} = ctx;
+    this.log = logs.of('agent');
+    this.lease = new LeaseKeeper(options.lease);
+    this.searchedAtMs = clock.nowMs() - SEARCH_AFTER_MS;
+    this.links = new GateLinks(
+      clock,
+      {
+        clock,
+        hybrid: new HybridClock(clock),
+        timeoutMs: options.linkTimeoutMs,
+      },
+      logs.of('links'),
+      {
+        onOpen: address => this.report(address),
+        onMessage: (address, message) => this.onMessage(address, message),
+        onClosed: address => this.onLinkClosed(address),
+      },
+    );
+  }
+
+  start(): void {
+    this.links.learn(this.options.seedGates);
+    this.links.tick();
+    this.ticker = setInterval(() => this.tick(), TICK_MS);
+  }
+
+  /** Takes in what the worker says of itself; false for news of an older incarnation. */
+  recordHeartbeat(report: WorkerReport): boolean {
+    const {driver} = this;
+    const isSame = driver?.id === report.id && driver.bornMs === report.bornMs;
+    if (driver && !isSame && report.bornMs < driver.bornMs) return false;
+    if (driver && isSame) driver.update(report);
+    else this.drive(report);
+    this.news();
+    return true;
+  }
+
+  /** The worker says that it has ended. */
+  recordLeave(workerId: string): void {
+    const {driver} = this;
+    if (driver?.id !== workerId) return;
+    this.log.event('workerLeft', {worker: driver.key});
+    this.giveUpDriver(driver);
+  }
+
+  /** Ends without touching what runs: a successor finds it on the worker. */
+  async stop(): Promise<void> {
+    clearInterval(this.ticker);
+    this.driver?.close();
+    this.links.close();
+    await this.ctx.worker.close();
+    await this.ctx.store.close();
+  }
+
+  private drive(report: WorkerReport): void {
+    this.driver?.close();
+    this.lease.resetClock();
+    const {worker, clock, logs, metrics} = this.ctx;
+    const driver: WorkerDriver = new WorkerDriver(this.options.name, report, {
+      worker,
+      clock,
+      metrics,
+      log: logs.of('worker'),
+      lease: this.lease,
+      epoch: () => this.epoch,
+      onNews: () => this.news(),
+      onOtherIncarnation: () => this.onOtherIncarnation(driver),
+    });
+    this.driver = driver;
+    this.log.event('workerFound', {worker: driver.key, epoch: this.epoch});
+  }
+
+  /** The incarnation that is known is gone; the new one announces itself. */
+  private onOtherIncarnation(driver: WorkerDriver): void {
+    if (this.driver !== driver) return;
+    this.log.event('workerReplaced', {worker: driver.key});
+    this.giveUpDriver(driver);
+  }
+
+  private giveUpDriver(driver: WorkerDriver): void {
+    driver.close();
+    this.driver = undefined;
+    this.report(this.leader, driver.key);
+  }
+
+  private tick(): void {
+    this.links.tick();
+    const nowMs = this.ctx.clock.nowMs();
+    if (nowMs - this.reportedAtMs >= REPORT_MS) this.reportToAll(nowMs);
+    if (!this.leader) this.searchGates(nowMs);
+    else this.searchedAtMs = nowMs;
+    if (this.driver?.takeLapse()) {
+      this.log.event('leasesLapsed', {worker: this.driver.key});
+      this.report(this.leader, this.driver.key);
+    }
+  }
+
+  private reportToAll(nowMs: number): void {
+    this.reportedAtMs = nowMs;
+    for (const address of this.links.openAddresses) this.report(address);
+  }
+
+  /** Tells the seat holder soon; several pieces of news go in one report. */
+  private news(): void {
+    if (this.isNewsPending) return;
+    this.isNewsPending = true;
+    setImmediate(() => {
+      this.isNewsPending = false;
+      this.report(this.leader);
+    });
+  }
+
+  private report(address: string | undefined, lostWorker?: string): void {
+    if (address === undefined) return;
+    const {clock} = this.ctx;
+    const moment = {nowMs: clock.nowMs(), wallMs: clock.wallMs()};
+    this.sentMoments.set(moment.nowMs, moment);
+    const isLeader = address === this.leader;
+    const inventory = this.driver?.isReachable
+      ? this.driver.inventory()
+      : undefined;
+    const report: AgentReport = {
+      type: 'report',
+      agent: this.options.name,
+      sentAtMs: moment.nowMs,
+      epoch: this.epoch,
+      inventory,
+      refusals: isLeader ? (this.driver?.takeRefusals() ?? []) : [],
+      lostWorker,
+    };
+    this.links.send(address, report);
+  }
+
+  private onMessage(address: string, message: GateJobMessage): void {
+    if (message.type === 'orders') return this.onOrders(message);
+    const sentAt = this.sentMoments.get(message.sentAtMs);
+    this.forgetMoments(message.sentAtMs);
+    this.links.learn(message.gates);
+    if (message.epoch < this.epoch) return;
+    const isNewEpoch = message.epoch > this.epoch;
+    this.epoch = message.epoch;
+    if (isNewEpoch && !message.leads) this.leader = undefined;
+    if (!message.leads) {
+      if (this.leader === address) this.leader = undefined;
+      return;
+    }
+    if (this.leader !== address) {
+      this.leader = address;
+      this.log.event('leaderFound', {gate: address, epoch: this.epoch});
+      this.report(address);
+    }
+    if (sentAt) this.lease.recordContact(sentAt);
+  }
+
+  private onOrders(message: Extract<GateJobMessage, {type: 'orders'}>): void {
+    if (message.epoch < this.epoch) {
+      this.log.event('ordersIgnored', {
+        epoch: message.epoch,
+        known: this.epoch,
+      });
+      return;
+    }
+    this.epoch = message.epoch;
+    const {driver} = this;
+    for (const order of message.orders) {
+      if (order.worker !== driver?.key) {
+        this.log.event('orderForOtherWorker', {worker: order.worker});
+        continue;
+      }
+      if (order.type === 'start') void driver.start(order);
+      else if (order.type === 'stop') void driver.stop(order);
+      else driver.acknowledge(order.upTo);
+    }
+  }
+
+  private onLinkClosed(address: string): void {
+    if (this.leader === address) this.leader = undefined;
+  }
+
+  /** Moments of reports up to the one that was answered are not needed any more. */
+  private forgetMoments(upToMs: number): void {
+    for (const sentAtMs of this.sentMoments.keys())
+      if (sentAtMs <= upToMs - FORGET_MOMENTS_MS)
+        this.sentMoments.delete(sentAtMs);
+  }
+
+  /** Without a leader, gates may have come that the agent has not heard of. */
+  private searchGates(nowMs: number): void {
+    if (this.isSearching || nowMs - this.searchedAtMs < SEARCH_AFTER_MS) return;
+    this.searchedAtMs = nowMs;
+    this.isSearching = true;
+    void this.readGates().finally(() => (this.isSearching = false));
+  }
+
+  private async readGates(): Promise<void> {
+    try {
+      const {rows} = await this.ctx.store.read('gate/', SEARCH_TIMEOUT_MS);
+      for (const row of rows)
+        if (row.value) this.links.learn([decodeGate(row.value).address]);
+    } catch (err) {
+      this.log.event('gatesNotRead', {reason: (err as Error).message});
+    }
+  }
+}
+
+/** Reports of several links overlap by less than this, in ms. */
+const FORGET_MOMENTS_MS = 5000;
--- a/src/daemons/agent_links.ts
+++ b/src/daemons/agent_links.ts
@@ -5,7 +5,7 @@
 import {Task, type Mailbox} from '../core/task.js';
 import {type Versions} from '../core/tables.js';
 import {type Announcement, type Load} from '../core/vocabulary.js';
-import {decodeFromGate} from '../protocol/codec.js';
+import {decodeFromGate, encode} from '../protocol/codec.js';
 import {
   type AgentMessage,
   type GateAddress,
@@ -13,7 +13,7 @@
 } from '../protocol/messages.js';
 import {type AgentSettings} from '../protocol/settings.js';
 import {type Logger} from '../plugins/logger.js';
-import {Link} from './link.js';
+import {Link} from '../links/link.js';
 import {type ProcessContext} from './process_context.js';
 
 const REDIAL_BASE_MS = 100;
@@ -163,10 +163,15 @@
       hybrid: this.ctx.hybrid,
       timeoutMs: this.settings.times.linkTimeoutMs,
     };
-    const link: Dial['link'] = new Link(ws, decodeFromGate, ctx, {
-      onMessage: body => this.onMessage(address, dial, body),
-      onClosed: reason => this.onClosed(address, dial, reason),
-    });
+    const link: Dial['link'] = new Link(
+      ws,
+      {encode, decode: decodeFromGate},
+      ctx,
+      {
+        onMessage: body => this.onMessage(address, dial, body),
+        onClosed: reason => this.onClosed(address, dial, reason),
+      },
+    );
     const dial: Dial = {link};
     this.dials.set(address, dial);
     ws.on('open', () => this.sayHello(link));
--- a/src/daemons/config_task.ts
+++ b/src/daemons/config_task.ts
@@ -20,7 +20,7 @@
   type TableSet,
   type Versions,
 } from '../core/tables.js';
-import {type Row, type TableService} from '../platform/table_service.js';
+import {type Row, type TableService} from '../ports/table_service.js';
 import {
   type Checked,
   checkPools,
--- a/src/daemons/executor_task.ts
+++ b/src/daemons/executor_task.ts
@@ -8,10 +8,7 @@
 } from '../core/request_executor.js';
 import {Task, type Mailbox} from '../core/task.js';
 import {type Announcement} from '../core/vocabulary.js';
-import {
-  BACKEND_SERVER,
-  type BackendServer,
-} from '../platform/backend_server.js';
+import {BACKEND_SERVER, type BackendServer} from '../ports/backend_server.js';
 import {type AgentMessage, type GateMessage} from '../protocol/messages.js';
 import {type AgentSettings} from '../protocol/settings.js';
 import {type AgentLinkEvent, type AgentSend} from './agent_links.js';
--- a/src/daemons/gang_rows.ts
+++ b/src/daemons/gang_rows.ts
@@ -2,7 +2,7 @@
 import {type Settlement} from '../core/outcome.js';
 import {type RowReply} from '../planning/coordinator_messages.js';
 import {type StartMark} from '../planning/gang_spec.js';
-import {type RowGuard, type TableService} from '../platform/table_service.js';
+import {type RowGuard, type TableService} from '../ports/table_service.js';
 import {type GangRow} from '../protocol/rows.js';
 import {loadSettlement, storeSettlement} from '../protocol/settlement_codec.js';
 import {gangKey, parseGangRow} from './gang_service.js';
--- a/src/daemons/gang_service.ts
+++ b/src/daemons/gang_service.ts
@@ -9,7 +9,7 @@
 } from '../core/errors.js';
 import {type Settlement} from '../core/outcome.js';
 import {type Route} from '../core/tables.js';
-import {type Row, type TableService} from '../platform/table_service.js';
+import {type Row, type TableService} from '../ports/table_service.js';
 import {checkValue} from '../protocol/check.js';
 import {type GangRow, gangRowSchema} from '../protocol/rows.js';
 import {loadSettlement} from '../protocol/settlement_codec.js';
--- a/src/daemons/gang_task.ts
+++ b/src/daemons/gang_task.ts
@@ -13,7 +13,7 @@
   TaskState,
   WORKER,
   type Worker,
-} from '../platform/worker.js';
+} from '../ports/worker.js';
 import {type GateMessage} from '../protocol/messages.js';
 import {type AgentSettings} from '../protocol/settings.js';
 import {type AgentLinkEvent, type AgentSend} from './agent_links.js';
--- a/src/daemons/gate_daemon.ts
+++ b/src/daemons/gate_daemon.ts
@@ -4,7 +4,7 @@
 import {type Kernel} from '../core/kernel.js';
 import {type ProcessRef} from '../core/ids.js';
 import {type TimelineEvent, mergeTimelines} from '../core/timeline.js';
-import {TABLE_SERVICE, type TableService} from '../platform/table_service.js';
+import {TABLE_SERVICE, type TableService} from '../ports/table_service.js';
 import {type GateAddress} from '../protocol/messages.js';
 import {type GateSettings} from '../protocol/settings.js';
 import {refuseLargeBodies} from './body_limit.js';
--- a/src/daemons/gate_links.ts
+++ b/src/daemons/gate_links.ts
@@ -5,7 +5,7 @@
 import {type ProcessRef} from '../core/ids.js';
 import {Task, type Mailbox} from '../core/task.js';
 import {type Versions} from '../core/tables.js';
-import {decodeFromAgent, decodeFromGate} from '../protocol/codec.js';
+import {decodeFromAgent, decodeFromGate, encode} from '../protocol/codec.js';
 import {
   type AgentMessage,
   type GateAddress,
@@ -14,7 +14,7 @@
 import {type GateSettings} from '../protocol/settings.js';
 import {type Logger} from '../plugins/logger.js';
 import {type GateLinkEvent, type GateSend} from './gate_events.js';
-import {Link, MESSAGE_OVERHEAD_BYTES} from './link.js';
+import {Link, MESSAGE_OVERHEAD_BYTES} from '../links/link.js';
 import {type ProcessContext} from './process_context.js';
 import {equalSecrets} from './tokens.js';
 
@@ -162,16 +162,21 @@
 
   private acceptAgent(ws: WebSocket): void {
     let ref: ProcessRef | undefined;
-    const link: AgentLink = new Link(ws, decodeFromAgent, this.linkContext(), {
-      onMessage: body => {
-        if (ref) return this.onAgentMessage(ref, body);
-        ref = this.greetAgent(link, body);
+    const link: AgentLink = new Link(
+      ws,
+      {encode, decode: decodeFromAgent},
+      this.linkContext(),
+      {
+        onMessage: body => {
+          if (ref) return this.onAgentMessage(ref, body);
+          ref = this.greetAgent(link, body);
+        },
+        onClosed: reason => {
+          this.accepted.delete(link);
+          if (ref) this.onAgentClosed(ref, link, reason);
+        },
       },
-      onClosed: reason => {
-        this.accepted.delete(link);
-        if (ref) this.onAgentClosed(ref, link, reason);
-      },
-    });
+    );
     this.accepted.add(link);
   }
 
@@ -233,19 +238,24 @@
 
   private acceptGate(ws: WebSocket): void {
     let ref: ProcessRef | undefined;
-    const link: GateLink = new Link(ws, decodeFromGate, this.linkContext(), {
-      onMessage: body => {
-        if (ref) return this.publish({type: 'gateMessage', gate: ref, body});
-        if (
-          body.type !== 'gateHello' ||
-          !equalSecrets(body.token, this.settings.clusterToken)
-        ) {
-          return link.close('no valid hello');
-        }
-        ref = body.process;
+    const link: GateLink = new Link(
+      ws,
+      {encode, decode: decodeFromGate},
+      this.linkContext(),
+      {
+        onMessage: body => {
+          if (ref) return this.publish({type: 'gateMessage', gate: ref, body});
+          if (
+            body.type !== 'gateHello' ||
+            !equalSecrets(body.token, this.settings.clusterToken)
+          ) {
+            return link.close('no valid hello');
+          }
+          ref = body.process;
+        },
+        onClosed: () => this.accepted.delete(link),
       },
-      onClosed: () => this.accepted.delete(link),
-    });
+    );
     this.accepted.add(link);
   }
 
@@ -268,15 +278,20 @@
       handshakeTimeout: this.settings.times.linkTimeoutMs,
       perMessageDeflate: false,
     });
-    const link: GateLink = new Link(ws, decodeFromGate, this.linkContext(), {
-      onMessage: body => this.publish({type: 'gateMessage', gate: ref, body}),
-      onClosed: reason => {
-        this.dialling.delete(address.id);
-        if (this.dialled.get(address.id)?.link !== link) return;
-        this.dialled.delete(address.id);
-        this.publish({type: 'gateDown', gate: ref, reason});
+    const link: GateLink = new Link(
+      ws,
+      {encode, decode: decodeFromGate},
+      this.linkContext(),
+      {
+        onMessage: body => this.publish({type: 'gateMessage', gate: ref, body}),
+        onClosed: reason => {
+          this.dialling.delete(address.id);
+          if (this.dialled.get(address.id)?.link !== link) return;
+          this.dialled.delete(address.id);
+          this.publish({type: 'gateDown', gate: ref, reason});
+        },
       },
-    });
+    );
     ws.on('open', () => {
       this.dialling.delete(address.id);
       this.dialled.set(address.id, {ref, link});
--- a/src/daemons/membership_task.ts
+++ b/src/daemons/membership_task.ts
@@ -1,7 +1,7 @@
 /** Announces this gate by a row with a heartbeat, and follows the rows of the others. */
 import {type ProcessRef} from '../core/ids.js';
 import {Task, type Mailbox} from '../core/task.js';
-import {type TableService} from '../platform/table_service.js';
+import {type TableService} from '../ports/table_service.js';
 import {checkValue} from '../protocol/check.js';
 import {type GateAddress} from '../protocol/messages.js';
 import {type GateRow, gateRowSchema} from '../protocol/rows.js';
--- a/src/daemons/pool_seat.ts
+++ b/src/daemons/pool_seat.ts
@@ -12,7 +12,7 @@
 import {type GangSpec} from '../planning/gang_spec.js';
 import {GuaranteePlanner} from '../planning/guarantee_planner.js';
 import {type PlannerStatus} from '../planning/pool_planner.js';
-import {type TableService} from '../platform/table_service.js';
+import {type TableService} from '../ports/table_service.js';
 import {checkValue} from '../protocol/check.js';
 import {type GateMessage} from '../protocol/messages.js';
 import {
--- a/src/daemons/pools_task.ts
+++ b/src/daemons/pools_task.ts
@@ -5,7 +5,7 @@
 import {Task, type Mailbox} from '../core/task.js';
 import {type Pool, type Route, countAccelerators} from '../core/tables.js';
 import {BackendState} from '../core/vocabulary.js';
-import {type TableService} from '../platform/table_service.js';
+import {type TableService} from '../ports/table_service.js';
 import {
   type AgentMessage,
   type GateAddress,
--- a/src/daemons/router_task.ts
+++ b/src/daemons/router_task.ts
@@ -12,7 +12,7 @@
 } from '../core/request_messages.js';
 import {RequestRouter} from '../core/request_router.js';
 import {Task, type Mailbox} from '../core/task.js';
-import {type Row, type TableService} from '../platform/table_service.js';
+import {type Row, type TableService} from '../ports/table_service.js';
 import {checkValue} from '../protocol/check.js';
 import {type AgentMessage} from '../protocol/messages.js';
 import {claimRowSchema} from '../protocol/rows.js';
--- /dev/null
+++ b/src/gate/job_gate.ts
@@ -0,0 +1,332 @@
+/** A gate: answers callers from its copy of the rows, and schedules while it holds the seat. */
+import {type Clock} from '../core/clock.js';
+import {HybridClock} from '../core/hybrid_clock.js';
+import {type Random} from '../core/random.js';
+import {JobBook} from '../jobs/job_book.js';
+import {type JobTables, type Resources} from '../jobs/job.js';
+import {type EngineOptions} from '../jobs/job_engine.js';
+import {
+  type GateRow,
+  type RowKind,
+  decodeGate,
+  decodeSeat,
+  encodeGate,
+  parseRowKey,
+  rowKeys,
+} from '../jobs/run_record.js';
+import {SeatMachine} from '../jobs/seat_machine.js';
+import {type EventLog, type PartLog} from '../plugins/event_log.js';
+import {type Metrics} from '../plugins/metrics.js';
+import {sleep} from '../plugins/sleep.js';
+import {type StateStore, type StoredRow} from '../ports/state_store.js';
+import {type AgentReport, type GateAnswer} from '../protocol/job_messages.js';
+import {AgentServer} from './agent_server.js';
+import {JobService} from './job_service.js';
+import {RowFollower} from './row_follower.js';
+import {SEAT_TICK_MS, SeatHolder} from './seat_holder.js';
+
+/** Time between two writes of the row with the gate's address, in ms. */
+const ADDRESS_ROW_MS = 5000;
+/** Age at which another gate's address is dropped, in ms. */
+const ADDRESS_MAX_AGE_MS = 60_000; // far above the jumps of wall clocks
+const ADDRESS_TIMEOUT_MS = 3000;
+
+export interface JobGateOptions {
+  readonly name: string;
+  readonly incarnation: string;
+  readonly linkHost: string;
+  /** 0 takes any free port. */
+  readonly linkPort: number;
+  readonly times: JobTimes;
+}
+
+/** Bounds that all processes of a deployment must agree on, in ms. */
+export interface JobTimes {
+  /** Time without a commit after which another gate takes the seat. */
+  readonly takeoverMs: number;
+  readonly takeoverSpreadMs: number;
+  /** Silence after which a link is given up. */
+  readonly linkTimeoutMs: number;
+  /** Time without contact after which nothing that an agent kept alive runs any more. */
+  readonly silenceBoundMs: number;
+  /** Time for which an ended job can be asked for. */
+  readonly keepEndedMs: number;
+}
+
+export interface JobGateContext {
+  readonly store: StateStore;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logs: EventLog;
+  readonly metrics: Metrics;
+}
+
+export class JobGate {
+  readonly service: JobService;
+  private readonly book = new JobBook();
+  private readonly seat: SeatMachine;
+  private readonly holder: SeatHolder;
+  private readonly follower: RowFollower;
+  private readonly agents: AgentServer;
+  private readonly gates = new Map<string, GateRow>();
+  /** Newest capacity that each agent told, by agent. */
+  private readonly capacities = new Map<
+    string,
+    {readonly service: string; readonly capacity: Resources}
+  >();
+  private readonly log: PartLog;
+  private ticker: NodeJS.Timeout | undefined;
+  private addressWrittenMs = -Infinity;
+  private linkAddress = '';
+  private isStopping = false;
+  private tables: JobTables | undefined;
+
+  constructor(
+    private readonly options: JobGateOptions,
+    private readonly ctx: JobGateContext,
+  ) {
+    const {store, clock, random, metrics} = ctx;
+    this.log = ctx.logs.of('gate');
+    this.seat = new SeatMachine(
+      {
+        takeoverMs: options.times.takeoverMs,
+        spreadMs: options.times.takeoverSpreadMs,
+      },
+      clock.nowMs(),
+      () => random.next(),
+    );
+    this.holder = this.makeHolder();
+    this.follower = new RowFollower(
+      store,
+      {
+        onReset: () => this.book.clear(),
+        onRow: row => this.onRow(row),
+        onSynced: version => this.holder.onSynced(version),
+      },
+      {clock, random, log: ctx.logs.of('rows')},
+    );
+    this.service = new JobService(store, this.book, {
+      clock,
+      log: ctx.logs.of('jobs'),
+      metrics,
+      freshAsOfMs: () => this.follower.freshAsOfMs,
+      capacities: () => this.capacitiesByService(),
+      onCommitted: () => undefined,
+    });
+    this.agents = new AgentServer(
+      {host: options.linkHost, port: options.linkPort},
+      {
+        clock,
+        hybrid: new HybridClock(clock),
+        timeoutMs: options.times.linkTimeoutMs,
+      },
+      ctx.logs.of('agents'),
+      report => this.onReport(report),
+    );
+  }
+
+  /** Starts; resolves with the address for agents. */
+  async start(): Promise<string> {
+    const port = await this.agents.listening();
+    this.linkAddress = `${this.options.linkHost}:${port}`;
+    void this.follower.run();
+    this.ticker = setInterval(() => this.tick(), SEAT_TICK_MS);
+    return this.linkAddress;
+  }
+
+  /** The operators' tables; the gate does not take the seat before it has them. */
+  setTables(tables: JobTables): void {
+    this.tables = tables;
+    this.holder.setTables(tables);
+  }
+
+  /** The copy of the rows is fresh enough to answer from. */
+  get isReady(): boolean {
+    return !this.isStopping && this.service.isFresh;
+  }
+
+  get leads(): boolean {
+    return this.holder.engine !== undefined;
+  }
+
+  /** Gives up the seat; callers are still answered. */
+  async leaveSeat(): Promise<void> {
+    this.isStopping = true;
+    await this.holder.leave();
+  }
+
+  async stop(): Promise<void> {
+    await this.leaveSeat();
+    clearInterval(this.ticker);
+    this.follower.stop();
+    this.agents.close();
+    await this.ctx.store.close();
+  }
+
+  private makeHolder(): SeatHolder {
+    const {store, clock, random, logs, metrics} = this.ctx;
+    const engineLog = logs.of('engine');
+    const engineOptions: EngineOptions = {
+      silenceBoundMs: this.options.times.silenceBoundMs,
+      keepEndedMs: this.options.times.keepEndedMs,
+      onEvent: ({event, ...fields}) => {
+        metrics.count(`engine_${event}`);
+        if (event === 'placed') metrics.observe('placing', fields.ms ?? 0);
+        engineLog.event(event, fields);
+      },
+    };
+    return new SeatHolder(
+      store,
+      this.seat,
+      this.book,
+      {version: 0, queues: new Map(), workspaces: new Map()},
+      {
+        onOrders: (epoch, orders) => this.agents.give(epoch, orders),
+        onChange: () => this.onSeatChange(),
+      },
+      {
+        clock,
+        random,
+        log: logs.of('seat'),
+        metrics,
+        incarnation: this.options.incarnation,
+        engineOptions,
+      },
+    );
+  }
+
+  private tick(): void {
+    this.agents.check();
+    if (this.follower.syncedVersion < 0) return;
+    if (this.tables) this.holder.tick(this.follower.freshAsOfMs);
+    const nowMs = this.ctx.clock.nowMs();
+    if (nowMs - this.addressWrittenMs >= ADDRESS_ROW_MS && !this.isStopping)
+      void this.writeAddress(nowMs);
+  }
+
+  private onSeatChange(): void {
+    this.follower.isEager = this.leads;
+    this.agents.broadcast(this.answer(0));
+  }
+
+  private onRow(row: StoredRow): void {
+    const kind = parseRowKey(row.key);
+    if (!kind) {
+      this.log.fault('rowUnknown', {key: row.key});
+      return;
+    }
+    try {
+      this.applyRow(kind, row);
+    } catch (err) {
+      this.log.fault('rowUnreadable', {
+        key: row.key,
+        version: row.version,
+        reason: (err as Error).message,
+      });
+    }
+  }
+
+  private applyRow(kind: RowKind, row: StoredRow): void {
+    const nowMs = this.ctx.clock.nowMs();
+    if (kind.kind === 'seat') {
+      if (!row.value) return;
+      const seat = decodeSeat(row.value);
+      this.seat.see({row: seat, version: row.version}, nowMs);
+      this.holder.onEpoch(seat.epoch);
+      return;
+    }
+    if (kind.kind === 'gate') {
+      if (row.value) this.gates.set(kind.name, decodeGate(row.value));
+      else this.gates.delete(kind.name);
+      return;
+    }
+    this.book.apply(kind, row);
+    this.passToEngine(kind, nowMs);
+  }
+
+  private passToEngine(kind: RowKind, nowMs: number): void {
+    const {engine} = this.holder;
+    if (!engine) return;
+    if (kind.kind === 'job') {
+      const spec = this.book.jobs.get(kind.job)?.spec;
+      if (spec) engine.addJob(spec, nowMs, this.ctx.clock.wallMs());
+      if (this.book.jobs.get(kind.job)?.isCancelled)
+        engine.cancelJob(kind.job, nowMs);
+    } else if (kind.kind === 'cancel') engine.cancelJob(kind.job, nowMs);
+    else return;
+    engine.plan(nowMs);
+    this.holder.pump();
+  }
+
+  private onReport(report: AgentReport): GateAnswer {
+    const nowMs = this.ctx.clock.nowMs();
+    this.holder.onEpoch(report.epoch);
+    const {inventory, agent} = report;
+    if (inventory) {
+      const {service, capacity} = inventory.worker;
+      this.capacities.set(agent, {service, capacity});
+    }
+    const {engine} = this.holder;
+    if (engine) {
+      engine.recordContact(agent, nowMs);
+      for (const refusal of report.refusals)
+        engine.recordRefusal(refusal, nowMs);
+      if (report.lostWorker)
+        engine.loseWorker(report.lostWorker, 'all leases ran out', nowMs);
+      if (inventory) engine.recordInventory(agent, inventory, nowMs);
+      else engine.recordUnreachable(agent, nowMs);
+      engine.plan(nowMs);
+      this.holder.pump();
+    }
+    return this.answer(report.sentAtMs);
+  }
+
+  private answer(sentAtMs: number): GateAnswer {
+    return {
+      type: 'answer',
+      sentAtMs,
+      epoch: this.holder.epoch,
+      leads: this.leads,
+      gates: [...this.gates.values()].map(g => g.address),
+    };
+  }
+
+  private capacitiesByService(): Map<string, Resources[]> {
+    const byService = new Map<string, Resources[]>();
+    for (const {service, capacity} of this.capacities.values())
+      byService.set(service, [...(byService.get(service) ?? []), capacity]);
+    return byService;
+  }
+
+  /** Makes the address known, and removes the rows of gates that are gone. */
+  private async writeAddress(nowMs: number): Promise<void> {
+    this.addressWrittenMs = nowMs;
+    const {name, incarnation} = this.options;
+    const wallMs = this.ctx.clock.wallMs();
+    const own = this.gates.get(name);
+    const isCurrent =
+      own?.incarnation === incarnation &&
+      own.address === this.linkAddress &&
+      wallMs - own.writtenWallMs < ADDRESS_MAX_AGE_MS / 2;
+    const stale = [...this.gates].filter(
+      ([n, g]) => n !== name && wallMs - g.writtenWallMs > ADDRESS_MAX_AGE_MS,
+    );
+    if (isCurrent && stale.length === 0) return;
+    const row = {address: this.linkAddress, incarnation, writtenWallMs: wallMs};
+    const result = await this.ctx.store.transact(
+      {
+        expect: [],
+        put: [{key: rowKeys.gate(name), value: encodeGate(row)}],
+        remove: stale.map(([n]) => rowKeys.gate(n)),
+      },
+      ADDRESS_TIMEOUT_MS,
+    );
+    if (result.type !== 'committed')
+      this.log.fault('addressNotWritten', {result: result.type});
+  }
+
+  /** Waits until the copy of the rows is complete for the first time. */
+  async synced(): Promise<void> {
+    while (this.follower.syncedVersion < 0) await sleep(SEAT_TICK_MS);
+  }
+}
--- /dev/null
+++ b/src/gate/job_service.ts
@@ -0,0 +1,208 @@
+/** What callers can ask of any gate: hand in, look at and cancel jobs. */
+import {type Clock} from '../core/clock.js';
+import {type JobBook, type JobEntry} from '../jobs/job_book.js';
+import {
+  type JobSpec,
+  JobState,
+  type Resources,
+  type StepSpec,
+  fits,
+} from '../jobs/job.js';
+import {
+  decodeFate,
+  encodeCancellation,
+  encodeJob,
+  rowKeys,
+} from '../jobs/run_record.js';
+import {type PartLog} from '../plugins/event_log.js';
+import {type Metrics} from '../plugins/metrics.js';
+import {type StateStore} from '../ports/state_store.js';
+
+/** Age of the copy up to which it may be answered from, in ms. */
+const FRESH_MS = 2000; // callers must see a job 3 s after its hand-in
+/** Largest job row, in bytes: a row of the store holds 64 KiB in base64. */
+const MAX_JOB_BYTES = 45_000;
+const READ_TIMEOUT_MS = 1000;
+/** Wait that a caller is asked for when the store does not answer, in ms. */
+const STORE_RETRY_MS = 1000; // outages last seconds; a second finds the end of one soon
+/** Time for which a hand-in is tried again while the store turns it away, in ms. */
+const BUSY_MS = 200; // a fifth of the wait that the caller is asked for
+
+export type SubmitResult =
+  | {readonly type: 'accepted'}
+  /** It never ran and never will through this hand-in. */
+  | {
+      readonly type: 'refused';
+      readonly reason: string;
+      readonly retryAfterMs: number;
+    }
+  | {readonly type: 'invalid'; readonly reason: string}
+  /** It may have been stored. */
+  | {readonly type: 'unknown'; readonly reason: string};
+
+export type LookResult =
+  | {readonly type: 'found'; readonly state: JobState}
+  | {readonly type: 'absent'}
+  | {readonly type: 'unavailable'; readonly retryAfterMs: number};
+
+export type CancelResult = 'cancelled' | 'absent' | 'unavailable' | 'unknown';
+
+/** Largest capacities of the workers of each service, as far as they are known. */
+export type Capacities = ReadonlyMap<string, readonly Resources[]>;
+
+export interface JobServiceContext {
+  readonly clock: Clock;
+  readonly log: PartLog;
+  readonly metrics: Metrics;
+  /** When the newest successful reading of the rows was asked for. */
+  readonly freshAsOfMs: () => number;
+  readonly capacities: () => Capacities;
+  /** Called when a job or a cancellation is committed here. */
+  readonly onCommitted: () => void;
+}
+
+export class JobService {
+  constructor(
+    private readonly store: StateStore,
+    private readonly book: JobBook,
+    private readonly ctx: JobServiceContext,
+  ) {}
+
+  get isFresh(): boolean {
+    return this.ctx.clock.nowMs() - this.ctx.freshAsOfMs() < FRESH_MS;
+  }
+
+  async submit(job: JobSpec, timeoutMs: number): Promise<SubmitResult> {
+    const startMs = this.ctx.clock.nowMs();
+    const result = await this.trySubmit(job, timeoutMs);
+    const tookMs = this.ctx.clock.nowMs() - startMs;
+    this.ctx.metrics.count(`submit_${result.type}`);
+    this.ctx.metrics.observe('submit', tookMs);
+    this.ctx.log.event('submit', {
+      job: job.id,
+      queue: job.queue,
+      workspace: job.workspace,
+      result: result.type,
+      reason: 'reason' in result ? result.reason : undefined,
+      ms: Math.round(tookMs),
+    });
+    return result;
+  }
+
+  /** State of a job. A job that the copy lacks is looked for in the store. */
+  async look(id: string): Promise<LookResult> {
+    if (!this.isFresh)
+      return {type: 'unavailable', retryAfterMs: STORE_RETRY_MS};
+    const state = this.book.state(id);
+    if (state) return {type: 'found', state};
+    try {
+      const stored = await this.readState(id);
+      return stored ? {type: 'found', state: stored} : {type: 'absent'};
+    } catch (err) {
+      this.ctx.log.fault('lookFailed', {
+        job: id,
+        reason: (err as Error).message,
+      });
+      return {type: 'unavailable', retryAfterMs: STORE_RETRY_MS};
+    }
+  }
+
+  async cancel(id: string, timeoutMs: number): Promise<CancelResult> {
+    const result = await this.tryCancel(id, timeoutMs);
+    this.ctx.metrics.count(`cancel_${result}`);
+    this.ctx.log.event('cancel', {job: id, result});
+    return result;
+  }
+
+  countWaiting(queue: string): number {
+    return this.book.countWaiting(queue);
+  }
+
+  private async trySubmit(
+    job: JobSpec,
+    timeoutMs: number,
+  ): Promise<SubmitResult> {
+    if (this.book.state(job.id)) return {type: 'accepted'};
+    const fault = this.faultOf(job);
+    if (fault) return {type: 'invalid', reason: fault};
+    const value = encodeJob(job);
+    if (value.length > MAX_JOB_BYTES)
+      return {
+        type: 'invalid',
+        reason: `the job takes ${value.length} bytes, expected at most ${MAX_JOB_BYTES}; split it into several jobs`,
+      };
+    const key = rowKeys.job(job.id);
+    const result = await this.store.transact(
+      {expect: [{key, version: 0}], put: [{key, value}], remove: []},
+      timeoutMs,
+      BUSY_MS,
+    );
+    if (result.type === 'refused')
+      return {
+        type: 'refused',
+        reason: result.reason,
+        retryAfterMs: STORE_RETRY_MS,
+      };
+    if (result.type === 'unknown')
+      return {type: 'unknown', reason: result.reason};
+    // A conflict means that the job is stored already: hand-ins are idempotent.
+    this.ctx.onCommitted();
+    return {type: 'accepted'};
+  }
+
+  /** Why a job can never run; undefined when it may. */
+  private faultOf(job: JobSpec): string | undefined {
+    const capacities = this.ctx.capacities().get(job.queueAtHandIn.service);
+    if (!capacities || capacities.length === 0) return undefined;
+    const misfit = job.steps.findIndex(s => !fitsSome(s, capacities));
+    if (misfit < 0) return undefined;
+    return `a task of step ${misfit} is larger than each worker of ${job.queueAtHandIn.service}; ask for less cpu, memory or accelerators`;
+  }
+
+  private async readState(id: string): Promise<JobState | undefined> {
+    const [jobs, cancels, fates, blocks] = await Promise.all([
+      this.store.read(rowKeys.job(id), READ_TIMEOUT_MS),
+      this.store.read(rowKeys.cancellation(id), READ_TIMEOUT_MS),
+      this.store.read(rowKeys.fate(id), READ_TIMEOUT_MS),
+      this.store.read(`run/${id}.`, READ_TIMEOUT_MS),
+    ]);
+    if (!jobs.rows[0]?.value) return undefined;
+    const [cancel] = cancels.rows;
+    const [fate] = fates.rows;
+    if (cancel?.value && !(fate?.value && fate.version < cancel.version))
+      return JobState.CANCELLED;
+    if (fate?.value) return decodeFate(fate.value);
+    return blocks.rows.length > 0 ? JobState.RUNNING : JobState.PENDING;
+  }
+
+  private async tryCancel(
+    id: string,
+    timeoutMs: number,
+  ): Promise<CancelResult> {
+    const entry: JobEntry | undefined = this.book.jobs.get(id);
+    if (entry?.cancelledAtVersion !== undefined || entry?.fate)
+      return 'cancelled';
+    if (!entry?.spec) {
+      const look = await this.look(id);
+      if (look.type !== 'found')
+        return look.type === 'absent' ? 'absent' : 'unavailable';
+    }
+    const key = rowKeys.cancellation(id);
+    const result = await this.store.transact(
+      {
+        expect: [{key, version: 0}],
+        put: [{key, value: encodeCancellation()}],
+        remove: [],
+      },
+      timeoutMs,
+    );
+    if (result.type === 'refused') return 'unavailable';
+    if (result.type === 'unknown') return 'unknown';
+    this.ctx.onCommitted();
+    return 'cancelled';
+  }
+}
+
+function fitsSome(step: StepSpec, capacities: readonly Resources[]): boolean {
+  return capacities.some(c => fits(step.request, c));
+}
--- a/src/index.ts
+++ b/src/index.ts
@@ -4,9 +4,9 @@
 export {type Route, type Pool, type Shape} from './core/tables.js';
 export {type Daemon} from './daemons/daemon.js';
 export {makeDaemon, makeKernel} from './daemons/wiring.js';
-export {BACKEND_SERVER, BackendServer} from './platform/backend_server.js';
-export {TABLE_SERVICE, TableService} from './platform/table_service.js';
-export {WORKER, Worker} from './platform/worker.js';
+export {BACKEND_SERVER, BackendServer} from './ports/backend_server.js';
+export {TABLE_SERVICE, TableService} from './ports/table_service.js';
+export {WORKER, Worker} from './ports/worker.js';
 export {
   GuaranteePlanner,
   type PlannerOptions,
--- /dev/null
+++ b/src/jobs/hand_out_order.ts
@@ -0,0 +1,47 @@
+/**
+ * Load: more work than room, of several priorities. Guaranteed work first, then by
+ * priority; a job that can no longer earn anything yields to those that can.
+ */
+import {type Queue} from './job.js';
+
+/** Past this many times its objective a job earns nothing any more. */
+export const LATE_LIMIT_OBJECTIVES = 3; // the users' terms: up to three times is late
+
+export interface WaitingWork {
+  readonly queue: Queue;
+  /** When the caller first sent it, or when it was due, in ms of the clock. */
+  readonly sinceMs: number;
+  /** Expected time of its longest chain of work, in ms. */
+  readonly chainMs: number;
+  /** Within what its workspace is guaranteed. */
+  readonly isGuaranteed: boolean;
+}
+
+/** Time by which the work should be done, in ms of the clock. */
+export function objectiveAtMs(work: WaitingWork): number {
+  return work.sinceMs + objectiveMs(work);
+}
+
+function objectiveMs(work: WaitingWork): number {
+  return work.queue.stretch * work.chainMs + work.queue.targetMs;
+}
+
+/** Whether it would still be done before it is worth nothing. */
+export function canStillEarn(work: WaitingWork, nowMs: number): boolean {
+  const limitMs = work.sinceMs + LATE_LIMIT_OBJECTIVES * objectiveMs(work);
+  return nowMs + work.chainMs <= limitMs;
+}
+
+/** Negative when `a` is to be placed before `b`. */
+export function compareWaiting(
+  a: WaitingWork,
+  b: WaitingWork,
+  nowMs: number,
+): number {
+  if (a.isGuaranteed !== b.isGuaranteed) return a.isGuaranteed ? -1 : 1;
+  const earns = Number(canStillEarn(b, nowMs)) - Number(canStillEarn(a, nowMs));
+  if (earns !== 0) return earns;
+  if (a.queue.priority !== b.queue.priority)
+    return a.queue.priority - b.queue.priority;
+  return a.sinceMs - b.sinceMs;
+}
--- /dev/null
+++ b/src/jobs/job_book.ts
@@ -0,0 +1,87 @@
+/**
+ * Copy of all job rows in one process, fed in the order of the store. Answers callers,
+ * and is what a new seat holder starts from.
+ */
+import {getOrAdd} from '../core/fair_queue.js';
+import {type StoredRow} from '../ports/state_store.js';
+import {type JobSpec, JobState} from './job.js';
+import {
+  type BlockRef,
+  type Fate,
+  type RowKind,
+  type TaskRecord,
+  decodeBlock,
+  decodeFate,
+  decodeJob,
+} from './run_record.js';
+
+/** Everything known of one job. */
+export class JobEntry {
+  spec: JobSpec | undefined;
+  cancelledAtVersion: number | undefined;
+  fate: Fate | undefined;
+  fateVersion = 0;
+  /** Records by block key, `occurrence.step.block`. */
+  readonly blocks = new Map<string, TaskRecord[]>();
+
+  /** Whichever of the cancellation and the end came first counts. */
+  get isCancelled(): boolean {
+    if (this.cancelledAtVersion === undefined) return false;
+    return !this.fate || this.cancelledAtVersion < this.fateVersion;
+  }
+
+  get hasStarted(): boolean {
+    return [...this.blocks.values()].some(b => b.some(t => t.run > 0));
+  }
+
+  get state(): JobState {
+    if (this.isCancelled) return JobState.CANCELLED;
+    if (this.fate) return this.fate;
+    return this.hasStarted ? JobState.RUNNING : JobState.PENDING;
+  }
+}
+
+export function blockKey(ref: BlockRef): string {
+  return `${ref.occurrence}.${ref.step}.${ref.block}`;
+}
+
+export class JobBook {
+  readonly jobs = new Map<string, JobEntry>();
+
+  /** State of a job; undefined when there is none. */
+  state(id: string): JobState | undefined {
+    const entry = this.jobs.get(id);
+    return entry?.spec && entry.state;
+  }
+
+  /** Jobs of a queue that have no task started. */
+  countWaiting(queue: string): number {
+    let waiting = 0;
+    for (const entry of this.jobs.values()) {
+      if (entry.spec?.queue === queue && entry.state === JobState.PENDING)
+        waiting++;
+    }
+    return waiting;
+  }
+
+  /** Takes in one row of a kind that belongs to jobs. Throws on bytes that can't be read. */
+  apply(kind: RowKind, row: StoredRow): void {
+    if (kind.kind === 'seat' || kind.kind === 'gate') return;
+    const id = kind.kind === 'run' ? kind.ref.job : kind.job;
+    if (row.value === undefined) {
+      if (kind.kind === 'job') this.jobs.delete(id);
+      return;
+    }
+    const entry = getOrAdd(this.jobs, id, () => new JobEntry());
+    if (kind.kind === 'job') entry.spec = decodeJob(row.value);
+    else if (kind.kind === 'cancel') entry.cancelledAtVersion ??= row.version;
+    else if (kind.kind === 'fate') {
+      entry.fate = decodeFate(row.value);
+      entry.fateVersion = row.version;
+    } else entry.blocks.set(blockKey(kind.ref), decodeBlock(row.value));
+  }
+
+  clear(): void {
+    this.jobs.clear();
+  }
+}
--- /dev/null
+++ b/src/jobs/job_engine.ts
@@ -0,0 +1,696 @@
+/**
+ * The seat holder's state machine. Input: rows of jobs, news of agents, ticks. Output:
+ * rows to be committed, and orders. An order that depends on a row is held until the row
+ * is committed, so that a successor knows of every run that may exist.
+ */
+import {type RowValue} from '../ports/state_store.js';
+import {EndKind} from '../ports/task_worker.js';
+import {
+  type AddressedOrder,
+  type EndNews,
+  type Inventory,
+  type Order,
+  type Refusal,
+  type RunNews,
+} from './engine_messages.js';
+import {type JobBook, type JobEntry} from './job_book.js';
+import {type JobSpec, type JobTables, type Queue} from './job.js';
+import {
+  JobRun,
+  OccurrenceRun,
+  type StepRun,
+  type TaskRun,
+  type Unit,
+} from './job_run.js';
+import {Planner, ranMs} from './planner.js';
+import {RunTimes} from './run_times.js';
+import {
+  Fate,
+  TaskState,
+  encodeBlock,
+  encodeFate,
+  rowKeys,
+} from './run_record.js';
+import {
+  WorkerPool,
+  WorkerView,
+  agentOf,
+  bornOf,
+  workerKey,
+} from './worker_pool.js';
+import {WorkerTrust} from './worker_trust.js';
+
+/** Wait before work that was refused is placed again, in ms. */
+const REFUSED_WAIT_MS = 150; // about one round trip with its commit
+/** Time for which a worker that refused work gets no more, in ms. */
+const REFUSED_WORKER_WAIT_MS = 300;
+/** Time in which an order shows in the agent's inventory, or it was lost, in ms. */
+const REPEAT_ORDER_MS = 1000; // two reports of the agent
+/** Time for which a worker that its agent can't reach gets nothing, in ms. */
+const UNREACHABLE_WAIT_MS = 1200; // a little over two reports of the agent
+/** Rows in one batch; the row of the seat is added to each. */
+const MAX_BATCH_ROWS = 90;
+/** Bytes of rows in one batch. */
+const MAX_BATCH_BYTES = 500_000; // a transaction holds 1 MB, in base64
+
+/** One line about a decision, for the log. */
+export interface EngineEvent {
+  readonly event: string;
+  readonly job?: string;
+  readonly task?: string;
+  readonly run?: number;
+  readonly worker?: string;
+  readonly reason?: string;
+  readonly ms?: number;
+}
+
+export interface EngineOptions {
+  /**
+   * Time after the last contact with an agent at which nothing that it kept alive can
+   * run any more, in ms.
+   */
+  readonly silenceBoundMs: number;
+  /** Time for which an ended job can be asked for, in ms. */
+  readonly keepEndedMs: number;
+  readonly onEvent: (event: EngineEvent) => void;
+}
+
+export interface Batch {
+  readonly puts: readonly RowValue[];
+  readonly removes: readonly string[];
+  /** To be given once the rows are committed. */
+  readonly orders: readonly AddressedOrder[];
+}
+
+export class JobEngine {
+  private readonly jobs = new Map<string, JobRun>();
+  private readonly tasks = new Map<string, TaskRun>();
+  private readonly waiting = new Set<Unit>();
+  private readonly placed = new Set<Unit>();
+  private readonly placedOn = new Map<string, Set<TaskRun>>();
+  private readonly pool = new WorkerPool();
+  private readonly contactMs = new Map<string, number>();
+  private readonly planner = new Planner();
+  private readonly trust = new WorkerTrust();
+  private readonly times = new RunTimes();
+  private readonly dirty = new Map<string, () => Uint8Array>();
+  private readonly removes = new Set<string>();
+  private heldOrders: AddressedOrder[] = [];
+  private readyOrders: AddressedOrder[] = [];
+
+  constructor(
+    private tables: JobTables,
+    private readonly options: EngineOptions,
+  ) {}
+
+  /** Takes over from an earlier holder, as its rows tell. */
+  load(book: JobBook, nowMs: number, wallMs: number): void {
+    for (const [id, entry] of book.jobs) this.loadJob(id, entry, nowMs, wallMs);
+    for (const key of this.placedOn.keys())
+      this.contactMs.set(agentOf(key), nowMs);
+  }
+
+  setTables(tables: JobTables): void {
+    this.tables = tables;
+  }
+
+  addJob(spec: JobSpec, nowMs: number, wallMs: number): void {
+    if (this.jobs.has(spec.id)) return;
+    const ageMs = Math.max(0, wallMs - spec.acceptedWallMs);
+    const job = new JobRun(spec, nowMs - ageMs);
+    this.jobs.set(spec.id, job);
+    this.openDueOccurrences(job, nowMs, wallMs);
+  }
+
+  cancelJob(id: string, nowMs: number): void {
+    const job = this.jobs.get(id);
+    if (!job || job.isEnded) return;
+    this.endJob(job, nowMs);
+    this.log({event: 'jobCancelled', job: id});
+  }
+
+  /** The agent lives; what it keeps alive may go on. */
+  recordContact(agent: string, nowMs: number): void {
+    this.contactMs.set(agent, nowMs);
+  }
+
+  /** Time of the last contact with an agent; undefined when there was none. */
+  lastContactMs(agent: string): number | undefined {
+    return this.contactMs.get(agent);
+  }
+
+  recordInventory(agent: string, inventory: Inventory, nowMs: number): void {
+    const {worker, runs, ends} = inventory;
+    const key = workerKey(agent, worker.id, worker.bornMs);
+    if (!this.loseOlderIncarnations(agent, key, worker.bornMs, nowMs)) return;
+    this.recordContact(agent, nowMs);
+    const view = this.viewOf(agent, key, inventory);
+    view.update(worker, nowMs);
+    this.recordEnds(agent, key, ends, nowMs);
+    this.recordRuns(key, runs, nowMs);
+    const known = new Map(runs.map(r => [`${r.task}#${r.run}`, r]));
+    for (const task of this.placedOn.get(key) ?? []) {
+      const isKnown = known.has(`${task.name}#${task.run}`);
+      if (!task.isOrdered || (isKnown && !task.isStopping)) continue;
+      if (nowMs - task.orderedAtMs >= REPEAT_ORDER_MS)
+        this.repeatOrder(task, nowMs);
+    }
+    for (const run of runs) {
+      const task = this.tasks.get(run.task);
+      if (task?.isPlaced && task.worker === key && task.run === run.run)
+        continue;
+      this.log({event: 'strayRun', task: run.task, run: run.run, worker: key});
+      this.order(agent, {
+        type: 'stop',
+        worker: key,
+        task: run.task,
+        run: run.run,
+      });
+    }
+  }
+
+  /** The agent can't reach its worker at present: nothing more is placed there. */
+  recordUnreachable(agent: string, nowMs: number): void {
+    for (const worker of this.pool.ofAgent(agent))
+      worker.blockedUntilMs = nowMs + UNREACHABLE_WAIT_MS;
+  }
+
+  /** News of runs that go on; says nothing of those that it does not name. */
+  recordRuns(key: string, runs: readonly RunNews[], nowMs: number): void {
+    for (const news of runs) {
+      const task = this.tasks.get(news.task);
+      if (!task?.isPlaced || task.worker !== key || task.run !== news.run)
+        continue;
+      if (news.isRunning && task.runningSinceMs === 0) {
+        task.runningSinceMs = nowMs;
+        task.progressAtMs = nowMs;
+      }
+      if (news.percent !== task.percent) {
+        task.percent = news.percent;
+        task.progressAtMs = nowMs;
+      }
+      if (news.checkpoint && news.checkpoint !== task.checkpoint)
+        this.keepCheckpoint(task, news.checkpoint, nowMs);
+    }
+  }
+
+  recordEnds(
+    agent: string,
+    key: string,
+    ends: readonly EndNews[],
+    nowMs: number,
+  ): void {
+    for (const end of ends) {
+      this.pool.get(key)?.release(end.task, end.run);
+      const task = this.tasks.get(end.task);
+      if (task?.isPlaced && task.worker === key && task.run === end.run)
+        this.endRun(task, end, nowMs);
+    }
+    const last = ends.at(-1);
+    if (last)
+      this.heldOrders.push({
+        agent,
+        order: {type: 'acknowledge', worker: key, upTo: last.number},
+      });
+  }
+
+  /** A run did not start and never will. */
+  recordRefusal(refusal: Refusal, nowMs: number): void {
+    const {worker, reason} = refusal;
+    this.pool.get(worker)?.release(refusal.task, refusal.run);
+    const task = this.tasks.get(refusal.task);
+    if (!task?.isPlaced || task.worker !== worker || task.run !== refusal.run)
+      return;
+    this.log({event: 'startRefused', task: task.name, worker, reason});
+    const view = this.pool.get(worker);
+    if (view && !task.isStopping)
+      view.blockedUntilMs = nowMs + REFUSED_WORKER_WAIT_MS;
+    this.leaveWorker(task, nowMs);
+    if (task.unit) task.unit.notBeforeMs = nowMs + REFUSED_WAIT_MS;
+  }
+
+  /** The worker ended, or nothing on it can live any more. */
+  loseWorker(key: string, reason: string, nowMs: number): void {
+    const tasks = [...(this.placedOn.get(key) ?? [])];
+    this.log({event: 'workerLost', worker: key, reason});
+    this.pool.remove(key);
+    for (const task of tasks) {
+      this.log({event: 'runLost', task: task.name, run: task.run, reason});
+      this.leaveWorker(task, nowMs);
+    }
+    this.placedOn.delete(key);
+  }
+
+  /** Opens what is due, gives up what is silent, and places what waits. */
+  tick(nowMs: number, wallMs: number): void {
+    for (const job of this.jobs.values()) {
+      if (job.isEnded) this.forgetIfOld(job, nowMs);
+      else if (job.spec.schedule) this.openDueOccurrences(job, nowMs, wallMs);
+    }
+    this.loseSilentWorkers(nowMs);
+    this.plan(nowMs);
+  }
+
+  plan(nowMs: number): void {
+    if (this.waiting.size === 0) return;
+    this.planner.plan(
+      {
+        nowMs,
+        tables: this.tables,
+        waiting: this.waiting,
+        placed: this.placed,
+        pool: this.pool,
+        trust: this.trust,
+        times: this.times,
+      },
+      {
+        place: (unit, workers) => this.placeUnit(unit, workers, nowMs),
+        preempt: (victim, claimant) => this.preempt(victim, claimant, nowMs),
+      },
+    );
+  }
+
+  /** Orders that depend on no row. */
+  takeOrders(): AddressedOrder[] {
+    const orders = this.readyOrders;
+    this.readyOrders = [];
+    return orders;
+  }
+
+  /** Rows to be committed next, with the orders that wait for them. */
+  takeBatch(): Batch | undefined {
+    if (this.dirty.size + this.removes.size + this.heldOrders.length === 0)
+      return undefined;
+    const puts: RowValue[] = [];
+    let bytes = 0;
+    for (const [key, encode] of this.dirty) {
+      if (puts.length >= MAX_BATCH_ROWS || bytes >= MAX_BATCH_BYTES) break;
+      const value = encode();
+      puts.push({key, value});
+      bytes += value.length;
+      this.dirty.delete(key);
+    }
+    const removes = [...this.removes].slice(0, MAX_BATCH_ROWS - puts.length);
+    for (const key of removes) this.removes.delete(key);
+    const orders = this.dirty.size === 0 ? this.heldOrders : [];
+    if (this.dirty.size === 0) this.heldOrders = [];
+    return {puts, removes, orders};
+  }
+
+  /** Called when a batch is committed: orders that are still wanted may go out. */
+  release(orders: readonly AddressedOrder[], nowMs: number): AddressedOrder[] {
+    return orders.filter(({order}) => {
+      if (order.type !== 'start') return true;
+      const task = this.tasks.get(order.task);
+      const isWanted =
+        task?.isPlaced &&
+        task.run === order.run &&
+        task.worker === order.worker;
+      if (!isWanted) return false;
+      task.isOrdered = true;
+      task.orderedAtMs = nowMs;
+      return !task.isStopping;
+    });
+  }
+
+  /** Services of the workers in contact, with their largest capacities. */
+  get workers(): Iterable<WorkerView> {
+    return this.pool.workers.values();
+  }
+
+  get waitingUnits(): number {
+    return this.waiting.size;
+  }
+
+  get placedUnits(): number {
+    return this.placed.size;
+  }
+
+  private loadJob(
+    id: string,
+    entry: JobEntry,
+    nowMs: number,
+    wallMs: number,
+  ): void {
+    const {spec} = entry;
+    if (!spec) return;
+    const ageMs = Math.max(0, wallMs - spec.acceptedWallMs);
+    const job = new JobRun(spec, nowMs - ageMs);
+    this.jobs.set(id, job);
+    job.isEnded = entry.fate !== undefined || entry.isCancelled;
+    job.endedAtMs = nowMs;
+    for (const key of entry.blocks.keys()) {
+      const occurrence = Number(key.slice(0, key.indexOf('.')));
+      if (!job.occurrences.has(occurrence))
+        this.openOccurrence(job, occurrence, nowMs, entry);
+    }
+    if (!job.isEnded) this.openDueOccurrences(job, nowMs, wallMs);
+    for (const task of job.tasks) if (task.isPlaced) this.adopt(task, nowMs);
+  }
+
+  private adopt(task: TaskRun, nowMs: number): void {
+    this.tasksOn(task.worker).add(task);
+    task.placedAtMs = nowMs;
+    task.isOrdered = true;
+    const {unit} = task;
+    if (!unit) return;
+    this.waiting.delete(unit);
+    this.placed.add(unit);
+    const isBroken = unit.isGang && unit.tasks.some(t => !t.isPlaced);
+    if (isBroken || unit.job.isEnded) this.stopUnit(unit);
+  }
+
+  private openDueOccurrences(job: JobRun, nowMs: number, wallMs: number): void {
+    const {schedule} = job.spec;
+    if (!schedule) {
+      if (!job.occurrences.has(0))
+        this.openOccurrence(job, 0, job.acceptedAtMs);
+      return;
+    }
+    const {firstWallMs, intervalMs, occurrences} = schedule;
+    for (let k = 0; k < occurrences; k++) {
+      const dueWallMs = firstWallMs + k * intervalMs;
+      if (dueWallMs > wallMs) return;
+      if (job.occurrences.has(k)) continue;
+      this.openOccurrence(job, k, nowMs - (wallMs - dueWallMs));
+    }
+  }
+
+  private openOccurrence(
+    job: JobRun,
+    number: number,
+    dueAtMs: number,
+    entry?: JobEntry,
+  ): void {
+    const occurrence = new OccurrenceRun(job, number, dueAtMs, (step, block) =>
+      entry?.blocks.get(`${number}.${step}.${block}`),
+    );
+    job.occurrences.set(number, occurrence);
+    for (const task of occurrence.steps.flatMap(s => s.tasks))
+      this.tasks.set(task.name, task);
+    this.openSteps(occurrence, dueAtMs);
+  }
+
+  private openSteps(occurrence: OccurrenceRun, nowMs: number): void {
+    for (const step of occurrence.openReadySteps(nowMs)) {
+      if (occurrence.job.isEnded) continue;
+      for (const unit of step.units) if (!unit.isDone) this.waiting.add(unit);
+    }
+  }
+
+  private viewOf(agent: string, key: string, inventory: Inventory): WorkerView {
+    const found = this.pool.get(key);
+    if (found) return found;
+    const view = new WorkerView(agent, key, inventory.worker);
+    this.pool.add(view);
+    for (const task of this.tasksOn(key)) this.occupy(view, task);
+    for (const run of inventory.runs) {
+      const task = this.tasks.get(run.task);
+      if (task)
+        view.occupy({
+          task: run.task,
+          run: run.run,
+          request: task.step.spec.request,
+        });
+    }
+    this.log({event: 'workerSeen', worker: key});
+    return view;
+  }
+
+  /** False when the news is of an older incarnation than the one that is known. */
+  private loseOlderIncarnations(
+    agent: string,
+    key: string,
+    bornMs: number,
+    nowMs: number,
+  ): boolean {
+    const keys = new Set([
+      ...this.pool.workers.keys(),
+      ...this.placedOn.keys(),
+    ]);
+    const others = [...keys].filter(k => k !== key && agentOf(k) === agent);
+    if (others.some(k => bornOf(k) > bornMs)) return false;
+    for (const other of others)
+      this.loseWorker(other, 'another incarnation is there', nowMs);
+    return true;
+  }
+
+  private loseSilentWorkers(nowMs: number): void {
+    const keys = new Set([
+      ...this.pool.workers.keys(),
+      ...this.placedOn.keys(),
+    ]);
+    for (const key of keys) {
+      const contactMs = this.contactMs.get(agentOf(key)) ?? nowMs;
+      if (nowMs - contactMs > this.options.silenceBoundMs)
+        this.loseWorker(key, 'no contact within the bound', nowMs);
+    }
+  }
+
+  private repeatOrder(task: TaskRun, nowMs: number): void {
+    task.orderedAtMs = nowMs;
+    const agent = agentOf(task.worker);
+    const {unit} = task;
+    const worker = this.pool.get(task.worker);
+    if (!unit || task.isStopping || worker?.report.draining) {
+      task.isStopping = true;
+      this.order(agent, stopOrder(task));
+      return;
+    }
+    this.log({event: 'orderRepeated', task: task.name, run: task.run});
+    this.order(agent, startOrder(task));
+  }
+
+  private placeUnit(
+    unit: Unit,
+    workers: readonly string[],
+    nowMs: number,
+  ): void {
+    const run = unit.nextRun;
+    unit.tasks.forEach((task, i) => {
+      task.state = TaskState.PLACED;
+      task.run = run;
+      task.worker = workers[i];
+      task.placedAtMs = nowMs;
+      this.tasksOn(task.worker).add(task);
+      this.occupy(this.pool.get(task.worker)!, task);
+      this.markDirty(task);
+      this.heldOrders.push({
+        agent: agentOf(task.worker),
+        order: startOrder(task),
+      });
+      this.log({
+        event: 'placed',
+        task: task.name,
+        run,
+        worker: task.worker,
+        ms: Math.round(nowMs - unit.readyAtMs),
+      });
+    });
+    this.waiting.delete(unit);
+    this.placed.add(unit);
+  }
+
+  private preempt(victim: Unit, claimant: Unit, nowMs: number): void {
+    this.log({
+      event: 'preempted',
+      task: victim.tasks[0].name,
+      reason: `room for ${claimant.tasks[0].name}`,
+      ms: Math.round(ranMs(victim.tasks[0], nowMs)),
+    });
+    this.stopUnit(victim);
+  }
+
+  private stopUnit(unit: Unit): void {
+    for (const task of unit.tasks) {
+      if (!task.isPlaced || task.isStopping) continue;
+      task.isStopping = true;
+      this.order(agentOf(task.worker), stopOrder(task));
+    }
+  }
+
+  private endRun(task: TaskRun, end: EndNews, nowMs: number): void {
+    this.log({
+      event: 'runEnded',
+      task: task.name,
+      run: end.run,
+      worker: task.worker,
+      reason: end.kind,
+      ms: Math.round(ranMs(task, nowMs)),
+    });
+    if (end.checkpoint) this.keepCheckpoint(task, end.checkpoint, nowMs);
+    if (end.kind === EndKind.DONE) this.finishTask(task, nowMs);
+    else if (end.kind === EndKind.FAILED) this.failRun(task, end.run, nowMs);
+    else this.leaveWorker(task, nowMs);
+  }
+
+  private finishTask(task: TaskRun, nowMs: number): void {
+    const unit = task.unit!;
+    const {queue} = unit.job.spec;
+    this.times.record(queue, unit.step.spec.estimateMs, ranMs(task, nowMs));
+    this.trust.recordDone(agentOf(task.worker));
+    for (const member of unit.isGang ? unit.tasks : [task]) {
+      this.placedOn.get(member.worker)?.delete(member);
+      member.unplace();
+      member.state = TaskState.DONE;
+      this.markDirty(member);
+    }
+    this.placed.delete(unit);
+    this.waiting.delete(unit);
+    if (unit.job.isEnded) return;
+    this.openSteps(unit.step.occurrence, nowMs);
+    if (unit.job.isDone) this.finishJob(unit.job, Fate.COMPLETED, nowMs);
+  }
+
+  private failRun(task: TaskRun, run: number, nowMs: number): void {
+    const unit = task.unit!;
+    if (unit.failedRun !== run) {
+      unit.failedRun = run;
+      this.blame(unit, agentOf(task.worker), nowMs);
+      for (const member of unit.tasks) {
+        member.failures++;
+        this.markDirty(member);
+      }
+    }
+    this.leaveWorker(task, nowMs);
+    const {maxAttempts} = this.queueOf(unit);
+    if (task.failures >= maxAttempts && !unit.job.isEnded)
+      this.finishJob(unit.job, Fate.FAILED, nowMs);
+  }
+
+  /** A unit that fails on a second worker is likely at fault itself. */
+  private blame(unit: Unit, agent: string, nowMs: number): void {
+    const [first] = unit.failedOn;
+    unit.failedOn.push(agent);
+    if (first === undefined) this.trust.recordFailure(agent, nowMs);
+    else if (first !== agent) this.trust.forget(first);
+  }
+
+  /** The run is over without being done. */
+  private leaveWorker(task: TaskRun, nowMs: number): void {
+    const unit = task.unit!;
+    this.placedOn.get(task.worker)?.delete(task);
+    task.unplace();
+    this.markDirty(task);
+    if (unit.isPlaced) {
+      this.stopUnit(unit);
+      return;
+    }
+    this.placed.delete(unit);
+    if (unit.job.isEnded || unit.isDone) return;
+    this.waiting.add(unit);
+    unit.notBeforeMs = Math.max(unit.notBeforeMs, nowMs);
+  }
+
+  private finishJob(job: JobRun, fate: Fate, nowMs: number): void {
+    this.dirty.set(rowKeys.fate(job.spec.id), () => encodeFate(fate));
+    this.endJob(job, nowMs);
+    this.log({
+      event: 'jobEnded',
+      job: job.spec.id,
+      reason: fate,
+      ms: Math.round(nowMs - job.acceptedAtMs),
+    });
+  }
+
+  private endJob(job: JobRun, nowMs: number): void {
+    job.isEnded = true;
+    job.endedAtMs = nowMs;
+    for (const step of stepsOf(job)) {
+      for (const unit of step.units) {
+        this.waiting.delete(unit);
+        if (unit.isPlaced) this.stopUnit(unit);
+      }
+    }
+  }
+
+  private forgetIfOld(job: JobRun, nowMs: number): void {
+    if (nowMs - job.endedAtMs < this.options.keepEndedMs) return;
+    if (job.tasks.some(t => t.isPlaced)) return;
+    const {id} = job.spec;
+    for (const key of [
+      rowKeys.job(id),
+      rowKeys.cancellation(id),
+      rowKeys.fate(id),
+      ...blockKeysOf(job),
+    ])
+      this.removes.add(key);
+    for (const task of job.tasks) this.tasks.delete(task.name);
+    this.jobs.delete(id);
+  }
+
+  private keepCheckpoint(
+    task: TaskRun,
+    checkpoint: string,
+    nowMs: number,
+  ): void {
+    const members = task.unit?.isGang ? task.unit.tasks : [task];
+    for (const member of members) {
+      member.checkpoint = checkpoint;
+      member.checkpointAtMs = nowMs;
+      this.markDirty(member);
+    }
+  }
+
+  private markDirty(task: TaskRun): void {
+    const {step} = task;
+    const ref = step.blockOf(task);
+    this.dirty.set(rowKeys.block(ref), () =>
+      encodeBlock(step.recordsOf(ref.block)),
+    );
+  }
+
+  private occupy(view: WorkerView, task: TaskRun): void {
+    const {request} = task.step.spec;
+    view.occupy({task: task.name, run: task.run, request});
+  }
+
+  private tasksOn(key: string): Set<TaskRun> {
+    const found = this.placedOn.get(key);
+    if (found) return found;
+    const made = new Set<TaskRun>();
+    this.placedOn.set(key, made);
+    return made;
+  }
+
+  private queueOf(unit: Unit): Queue {
+    return unit.job.queueIn(this.tables.queues);
+  }
+
+  private order(agent: string, order: Order): void {
+    this.readyOrders.push({agent, order});
+  }
+
+  private log(event: EngineEvent): void {
+    this.options.onEvent(event);
+  }
+}
+
+function stepsOf(job: JobRun): StepRun[] {
+  return [...job.occurrences.values()].flatMap(o => o.steps);
+}
+
+/** Keys of all blocks of the job, whether they were written or not. */
+function blockKeysOf(job: JobRun): Set<string> {
+  return new Set(job.tasks.map(t => rowKeys.block(t.step.blockOf(t))));
+}
+
+function startOrder(task: TaskRun): Order {
+  return {
+    type: 'start',
+    worker: task.worker,
+    task: task.name,
+    run: task.run,
+    payload: task.step.occurrence.job.spec.payload,
+    checkpoint: task.checkpoint,
+  };
+}
+
+function stopOrder(task: TaskRun): Order {
+  return {
+    type: 'stop',
+    worker: task.worker,
+    task: task.name,
+    run: task.run,
+  };
+}
--- /dev/null
+++ b/src/jobs/planner.ts
@@ -0,0 +1,243 @@
+/**
+ * One planning pass: which waiting work is placed where, and what is stopped to make
+ * room for guaranteed work. Pure: the engine carries out what it says.
+ */
+import {type JobTables, coresOf} from './job.js';
+import {compareWaiting} from './hand_out_order.js';
+import {type TaskRun, type Unit, totalRequest} from './job_run.js';
+import {type Room, fitsWhenEmpty, isAllowed, place} from './placement.js';
+import {type Victim, planReclaim} from './reclaim.js';
+import {type RunTimes} from './run_times.js';
+import {type WorkerPool, type WorkerView} from './worker_pool.js';
+import {DOUBTED, type WorkerTrust} from './worker_trust.js';
+
+/** Wait for the rack of the data, as a share of the expected run time. */
+const RACK_WAIT_SHARE = 0.5; // elsewhere a task takes three times as long
+/** Time for which room made by stops is kept for the work that it was made for, in ms. */
+const HOLD_MS = 2000; // a stop takes up to 400 ms, and its end has to be recorded
+
+export interface PlanInput {
+  readonly nowMs: number;
+  readonly tables: JobTables;
+  readonly waiting: ReadonlySet<Unit>;
+  /** Placed units, for guarantees and as victims. */
+  readonly placed: ReadonlySet<Unit>;
+  readonly pool: WorkerPool;
+  readonly trust: WorkerTrust;
+  readonly times: RunTimes;
+}
+
+export interface PlanOutput {
+  place(unit: Unit, workers: readonly string[]): void;
+  preempt(victim: Unit, claimant: Unit): void;
+}
+
+interface Hold {
+  readonly unit: Unit;
+  readonly untilMs: number;
+}
+
+interface Candidate {
+  readonly unit: Unit;
+  readonly isGuaranteed: boolean;
+}
+
+export class Planner {
+  /** Workers kept for work that room is being made for. */
+  private readonly holds = new Map<string, Hold>();
+
+  plan(input: PlanInput, output: PlanOutput): void {
+    this.dropHolds(input);
+    for (const candidate of this.inOrder(input)) {
+      const {unit} = candidate;
+      if (input.nowMs < unit.notBeforeMs) continue;
+      const rooms = this.roomsFor(unit, input);
+      if (rooms.length === 0) continue;
+      const mayLeaveRack = this.mayLeaveRack(unit, rooms, input);
+      const {spec} = unit.step;
+      const count = unit.tasks.length;
+      const workers = place(spec, count, rooms, {mayLeaveRack});
+      if (workers) output.place(unit, workers);
+      else if (unit.job.queueIn(input.tables.queues).priority === 0)
+        this.makeRoom(candidate, rooms, input, output);
+    }
+  }
+
+  private inOrder(input: PlanInput): Candidate[] {
+    const guaranteed = guaranteedUnits(input);
+    const candidates = [...input.waiting].map(unit => ({
+      unit,
+      isGuaranteed: guaranteed.has(unit),
+      queue: unit.job.queueIn(input.tables.queues),
+      sinceMs: unit.step.occurrence.dueAtMs,
+      chainMs: expectedChainMs(unit, input),
+    }));
+    return candidates.sort(
+      (a, b) =>
+        compareWaiting(a, b, input.nowMs) ||
+        a.unit.tasks[0].index - b.unit.tasks[0].index,
+    );
+  }
+
+  private roomsFor(unit: Unit, input: PlanInput): Room[] {
+    const {service} = unit.job.queueIn(input.tables.queues);
+    return input.pool
+      .ofService(service)
+      .filter(w => w.accepts(input.nowMs) && !this.isHeldFromUnit(w, unit))
+      .map(w => roomOf(w, unit, input));
+  }
+
+  private isHeldFromUnit(worker: WorkerView, unit: Unit): boolean {
+    const hold = this.holds.get(worker.key);
+    return hold !== undefined && hold.unit !== unit;
+  }
+
+  /** Off its rack, work is slow; but it must not wait for a rack that can't hold it. */
+  private mayLeaveRack(
+    unit: Unit,
+    rooms: readonly Room[],
+    input: PlanInput,
+  ): boolean {
+    const {spec} = unit.step;
+    const expectedMs = input.times.expectedMs(
+      unit.job.spec.queue,
+      spec.estimateMs,
+    );
+    if (input.nowMs - unit.readyAtMs > expectedMs * RACK_WAIT_SHARE)
+      return true;
+    const empty = rooms.map(room => ({
+      ...room,
+      free: input.pool.get(room.worker)!.report.capacity,
+      ofStep: 0,
+    }));
+    const rules = {mayLeaveRack: false};
+    return !fitsWhenEmpty(spec, unit.tasks.length, empty, rules);
+  }
+
+  private makeRoom(
+    candidate: Candidate,
+    rooms: readonly Room[],
+    input: PlanInput,
+    output: PlanOutput,
+  ): void {
+    const {unit} = candidate;
+    if ([...this.holds.values()].some(h => h.unit === unit)) return;
+    const units = victimsFor(unit, rooms, input);
+    const victims = [...units].map(([id, victim]) =>
+      victimOf(id, victim, input.nowMs),
+    );
+    const {spec} = unit.step;
+    const count = unit.tasks.length;
+    const plan =
+      planReclaim(spec, count, rooms, victims, {mayLeaveRack: false}) ??
+      planReclaim(spec, count, rooms, victims, {mayLeaveRack: true});
+    if (!plan) return;
+    if (!candidate.isGuaranteed && !isWorthIt(unit, plan.costCoreMs, input))
+      return;
+    for (const victim of plan.victims)
+      output.preempt(units.get(victim.id)!, unit);
+    const untilMs = input.nowMs + HOLD_MS;
+    for (const worker of plan.placement)
+      this.holds.set(worker, {unit, untilMs});
+  }
+
+  private dropHolds(input: PlanInput): void {
+    for (const [worker, hold] of this.holds) {
+      if (input.nowMs >= hold.untilMs || !input.waiting.has(hold.unit))
+        this.holds.delete(worker);
+    }
+  }
+}
+
+function roomOf(worker: WorkerView, unit: Unit, input: PlanInput): Room {
+  const ofStep = unit.step.spec.maxPerWorker
+    ? unit.step.tasks.filter(t => t.worker === worker.key).length
+    : 0;
+  const failedHere = unit.failedOn.includes(worker.agent) ? DOUBTED : 0;
+  return {
+    worker: worker.key,
+    rack: worker.report.rack,
+    labels: worker.report.labels,
+    free: worker.free,
+    ofStep,
+    doubt: input.trust.doubt(worker.agent, input.nowMs) + failedHere,
+  };
+}
+
+/** Work of priority 0 that lies within what its workspace is guaranteed. */
+function guaranteedUnits(input: PlanInput): Set<Unit> {
+  const inUse = new Map<string, number>();
+  const add = (unit: Unit): number => {
+    const workspace = unit.job.spec.workspace ?? '';
+    const used = (inUse.get(workspace) ?? 0) + totalRequest(unit).accelerators;
+    inUse.set(workspace, used);
+    return used;
+  };
+  const isUrgent = (unit: Unit): boolean =>
+    unit.job.queueIn(input.tables.queues).priority === 0;
+  for (const unit of input.placed) if (isUrgent(unit)) add(unit);
+  const guaranteed = new Set<Unit>();
+  const urgent = [...input.waiting].filter(isUrgent);
+  urgent.sort((a, b) => a.job.acceptedAtMs - b.job.acceptedAtMs);
+  for (const unit of urgent) {
+    const {workspace} = unit.job.spec;
+    if (!workspace) continue;
+    const limit =
+      input.tables.workspaces.get(workspace)?.guaranteedAccelerators ?? 0;
+    if (add(unit) <= limit) guaranteed.add(unit);
+  }
+  return guaranteed;
+}
+
+/** Placed work of lower priority on the workers in question. */
+function victimsFor(
+  unit: Unit,
+  rooms: readonly Room[],
+  input: PlanInput,
+): Map<string, Unit> {
+  const allowed = rooms.filter(r => isAllowed(unit.step.spec, r));
+  const workers = new Set(allowed.map(r => r.worker));
+  const victims = new Map<string, Unit>();
+  for (const placed of input.placed) {
+    if (placed.job.queueIn(input.tables.queues).priority === 0) continue;
+    if (placed.isStopping || placed.job.isEnded) continue;
+    if (placed.tasks.some(t => t.isPlaced && workers.has(t.worker)))
+      victims.set(placed.tasks[0].name, placed);
+  }
+  return victims;
+}
+
+function victimOf(id: string, unit: Unit, nowMs: number): Victim {
+  const placed = unit.tasks.filter(t => t.isPlaced);
+  return {
+    id,
+    frees: placed.map(t => ({
+      worker: t.worker,
+      request: unit.step.spec.request,
+    })),
+    costCoreMs: unit.lostWorkIfStopped(nowMs),
+  };
+}
+
+/** Beyond the guarantee, less must be thrown away than the work itself amounts to. */
+function isWorthIt(unit: Unit, costCoreMs: number, input: PlanInput): boolean {
+  const {spec} = unit.step;
+  const runMs = input.times.expectedMs(unit.job.spec.queue, spec.estimateMs);
+  const ownCoreMs = runMs * coresOf(spec.request) * unit.tasks.length;
+  return costCoreMs < ownCoreMs;
+}
+
+function expectedChainMs(unit: Unit, input: PlanInput): number {
+  const {steps, queue} = unit.job.spec;
+  const ends: number[] = [];
+  for (const step of steps) {
+    const startMs = Math.max(0, ...step.after.map(i => ends[i]));
+    ends.push(startMs + input.times.expectedMs(queue, step.estimateMs));
+  }
+  return Math.max(0, ...ends);
+}
+
+/** Time that a placed task has run, in ms. */
+export function ranMs(task: TaskRun, nowMs: number): number {
+  return task.runningSinceMs === 0 ? 0 : nowMs - task.runningSinceMs;
+}
--- /dev/null
+++ b/src/jobs/seat_machine.ts
@@ -0,0 +1,59 @@
+/**
+ * Decides when a gate tries to take the seat. The holder writes the seat's row with
+ * every commit, so a row that stays the same for the takeover time has no live holder.
+ */
+import {type SeatRow} from './run_record.js';
+
+export interface SeatTimes {
+  /** Time without a change of the row after which the seat is free, in ms. */
+  readonly takeoverMs: number;
+  /** Longest extra wait, so that gates don't all try at once, in ms. */
+  readonly spreadMs: number;
+}
+
+/** The seat's row as this process saw it last. */
+export interface SeenSeat {
+  readonly row: SeatRow;
+  readonly version: number;
+}
+
+export class SeatMachine {
+  private seen: SeenSeat | undefined;
+  private changedAtMs: number;
+  private readonly extraMs: number;
+
+  constructor(
+    private readonly times: SeatTimes,
+    startMs: number,
+    random: () => number,
+  ) {
+    this.changedAtMs = startMs;
+    this.extraMs = Math.round(random() * times.spreadMs);
+  }
+
+  get current(): SeenSeat | undefined {
+    return this.seen;
+  }
+
+  get epoch(): number {
+    return this.seen?.row.epoch ?? 0;
+  }
+
+  /** Takes in the row; older versions than the one known are ignored. */
+  see(seat: SeenSeat, nowMs: number): void {
+    if (this.seen && seat.version <= this.seen.version) return;
+    this.seen = seat;
+    this.changedAtMs = nowMs;
+  }
+
+  /**
+   * Whether to try a takeover. `readAtMs` is when the newest successful reading of the
+   * row was asked for: silence of the store is no silence of the holder.
+   */
+  shouldTakeOver(nowMs: number, readAtMs: number): boolean {
+    if (!this.seen || this.seen.row.holder === '')
+      return nowMs - this.changedAtMs >= this.extraMs;
+    const silentMs = readAtMs - this.changedAtMs;
+    return silentMs >= this.times.takeoverMs + this.extraMs;
+  }
+}
--- a/src/daemons/link.ts
+++ b/src/links/link.ts
@@ -2,8 +2,7 @@
 import {type RawData, type WebSocket} from 'ws';
 import {type Clock} from '../core/clock.js';
 import {type HybridClock} from '../core/hybrid_clock.js';
-import {encode} from '../protocol/codec.js';
-import {type Envelope, type WireMessage} from '../protocol/messages.js';
+import {type Envelope} from '../protocol/messages.js';
 
 /** Largest message on a link beyond the body it carries, in bytes. */
 export const MESSAGE_OVERHEAD_BYTES = 64 * 1024;
@@ -15,6 +14,13 @@
   readonly timeoutMs: number;
 }
 
+/** Turns the messages of one kind of link into bytes and back. */
+export interface LinkCodec<In, Out> {
+  encode(envelope: Envelope<Out>): Uint8Array;
+  /** Throws `ProtocolError` for bytes that are no message of the link. */
+  decode(data: Uint8Array): Envelope<In>;
+}
+
 export interface LinkHandlers<In> {
   onMessage(body: In): void;
   onClosed(reason: string): void;
@@ -24,14 +30,14 @@
  * A connection can go silent for good without an error, so each end sends
  * heartbeats and breaks the connection when it hears nothing for the timeout.
  */
-export class Link<In, Out extends WireMessage> {
+export class Link<In, Out> {
   private lastHeardMs: number;
   private closedReason: string | undefined;
   bytesSent = 0;
 
   constructor(
     private readonly ws: WebSocket,
-    private readonly decode: (data: Uint8Array) => Envelope<In>,
+    private readonly codec: LinkCodec<In, Out>,
     private readonly ctx: LinkContext,
     private readonly handlers: LinkHandlers<In>,
   ) {
@@ -45,9 +51,14 @@
     return this.closedReason === undefined;
   }
 
+  /** Bytes that wait to be sent. */
+  get queuedBytes(): number {
+    return this.ws.bufferedAmount;
+  }
+
   send(body: Out): void {
     if (!this.isOpen) return;
-    const data = encode({stamp: this.ctx.hybrid.now(), body});
+    const data = this.codec.encode({stamp: this.ctx.hybrid.now(), body});
     this.bytesSent += data.length;
     this.ws.send(data);
   }
@@ -67,7 +78,7 @@
     if (!this.isOpen) return;
     this.lastHeardMs = this.ctx.clock.nowMs();
     try {
-      const envelope = this.decode(data as Buffer);
+      const envelope = this.codec.decode(data as Buffer);
       this.ctx.hybrid.receive(envelope.stamp);
       this.handlers.onMessage(envelope.body);
     } catch (err) {
--- a/src/plugins/http_backend_server.ts
+++ b/src/plugins/http_backend_server.ts
@@ -9,7 +9,7 @@
   type BackendEnd,
   BackendServer,
   type BackendServerOptions,
-} from '../platform/backend_server.js';
+} from '../ports/backend_server.js';
 
 const MAX_CONNECTIONS = 64;
 const CONNECT_TIMEOUT_MS = 1000;
--- a/src/plugins/http_table_service.ts
+++ b/src/plugins/http_table_service.ts
@@ -13,7 +13,7 @@
   TableService,
   type TableServiceOptions,
   type WriteReply,
-} from '../platform/table_service.js';
+} from '../ports/table_service.js';
 import {SystemClock} from './system_clock.js';
 import {sleep} from './sleep.js';
 
--- a/src/plugins/http_worker.ts
+++ b/src/plugins/http_worker.ts
@@ -9,7 +9,7 @@
   WORKER,
   Worker,
   type WorkerOptions,
-} from '../platform/worker.js';
+} from '../ports/worker.js';
 
 const CONNECTIONS = 64;
 const CALL_TIMEOUT_MS = 2000;
--- a/src/protocol/codec.ts
+++ b/src/protocol/codec.ts
@@ -6,7 +6,6 @@
   type AgentMessage,
   type Envelope,
   type GateMessage,
-  type WireMessage,
   agentMessageSchema,
   gateMessageSchema,
   stampSchema,
@@ -15,7 +14,7 @@
 const packr = new Packr({useRecords: false, variableMapSize: true});
 
 /** Encodes one message. */
-export function encode(envelope: Envelope<WireMessage>): Uint8Array {
+export function encode<T>(envelope: Envelope<T>): Uint8Array {
   return packr.pack(envelope);
 }
 
@@ -39,7 +38,8 @@
   return decode(data, agentEnvelopeSchema);
 }
 
-function decode<T>(data: Uint8Array, schema: z.ZodType<T>): T {
+/** Decodes bytes and checks them against a schema. */
+export function decode<T>(data: Uint8Array, schema: z.ZodType<T>): T {
   let value: unknown;
   try {
     value = packr.unpack(data);
