Job recovery as scenarios over gates, agents and stand-ins; takeover counts silence exactly

Cause: the scenarios of takeover failed first: a poll of the worker that waits hid that leases were renewed only once a second, ends that are not durable yet made the agent poll without a pause, and the takeover was tried only after a whole poll of the store (up to 0.7 s late). Ruled out: an early takeover by this: its transaction names the version of the seat's row, and after an outage of the store the holder gets the whole time again.

--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -217,7 +217,8 @@
         continue;
       }
       const isListed = await this.renew(this.hasListed ? POLL_WAIT_MS : 0);
-      if (!isListed) await sleep(RETRY_MS);
+      // With ends that are not durable yet, the worker answers without waiting.
+      if (!isListed || this.table.ends().length > 0) await sleep(RETRY_MS);
     }
   }
 
--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -30,6 +30,8 @@
 /** Age at which another gate's address is dropped, in ms. */
 const ADDRESS_MAX_AGE_MS = 60_000; // far above the jumps of wall clocks
 const ADDRESS_TIMEOUT_MS = 3000;
+/** Commits of an idle seat holder within the takeover time. */
+const RENEWALS_PER_TAKEOVER = 4; // bears the loss of two in a row
 
 export interface JobGateOptions {
   readonly name: string;
@@ -155,8 +157,16 @@
     await this.holder.leave();
   }
 
+  /** Gives up the seat and ends. */
   async stop(): Promise<void> {
     await this.leaveSeat();
+    await this.abandon();
+  }
+
+  /** Ends without giving up the seat, as a crash does. */
+  async abandon(): Promise<void> {
+    this.isStopping = true;
+    this.holder.abandon();
     clearInterval(this.ticker);
     this.follower.stop();
     this.agents.close();
@@ -191,6 +201,7 @@
         metrics,
         incarnation: this.options.incarnation,
         engineOptions,
+        renewMs: this.options.times.takeoverMs / RENEWALS_PER_TAKEOVER,
       },
     );
   }
--- a/src/gate/seat_holder.ts
+++ b/src/gate/seat_holder.ts
@@ -25,8 +25,6 @@
   type TransactionResult,
 } from '../ports/state_store.js';
 
-/** Longest time without a commit, in ms. */
-const RENEW_MS = 500; // a quarter of the takeover time
 /** Longest time that one attempt to commit may take, in ms. */
 const COMMIT_TIMEOUT_MS = 5000;
 const COMMIT_RETRY_MS = 60;
@@ -42,6 +40,8 @@
   /** Incarnation of this process. */
   readonly incarnation: string;
   readonly engineOptions: EngineOptions;
+  /** Longest time without a commit, in ms. */
+  readonly renewMs: number;
 }
 
 export interface SeatHolderHandlers {
@@ -134,7 +134,7 @@
     if (this.isCommitting) return;
     const batch = tenure.engine.takeBatch();
     const nowMs = this.ctx.clock.nowMs();
-    const isDue = nowMs - tenure.committedAtMs >= RENEW_MS;
+    const isDue = nowMs - tenure.committedAtMs >= this.ctx.renewMs;
     if (!batch && !isDue) return;
     const writes = batch ? batch.puts.length + batch.removes.length : 0;
     if (batch && writes === 0 && !isDue) {
@@ -162,6 +162,12 @@
     this.handlers.onChange();
   }
 
+  /** Ends at once; the row of the seat stays as it is. */
+  abandon(): void {
+    this.isLeaving = true;
+    this.tenure = undefined;
+  }
+
   private async takeOver(): Promise<void> {
     this.isTaking = true;
     const {current} = this.seat;
--- a/src/jobs/seat_machine.ts
+++ b/src/jobs/seat_machine.ts
@@ -48,12 +48,20 @@
 
   /**
    * Whether to try a takeover. `readAtMs` is when the newest successful reading of the
-   * row was asked for: silence of the store is no silence of the holder.
+   * row was asked for: silence of the store is no silence of the holder, which gets the
+   * whole time again once the store answers.
    */
   shouldTakeOver(nowMs: number, readAtMs: number): boolean {
+    if (nowMs - readAtMs > STALE_READING_MS) {
+      this.changedAtMs = nowMs;
+      return false;
+    }
+    const silentMs = nowMs - this.changedAtMs;
     if (!this.seen || this.seen.row.holder === '')
-      return nowMs - this.changedAtMs >= this.extraMs;
-    const silentMs = readAtMs - this.changedAtMs;
+      return silentMs >= this.extraMs;
     return silentMs >= this.times.takeoverMs + this.extraMs;
   }
 }
+
+/** Age of a reading at which the store counts as silent, in ms. */
+const STALE_READING_MS = 1500; // a reading waits 700 ms, and answers come 0.4 s late at times
--- /dev/null
+++ b/standins/row_store.ts
@@ -0,0 +1,141 @@
+/** Stand-in of the platform's store of rows, in memory, with the faults that it can have. */
+import {TableServiceError} from '../src/core/errors.js';
+import {
+  type Changes,
+  type RowsAt,
+  StateStore,
+  type StoredRow,
+  type Transaction,
+  type TransactionResult,
+} from '../src/ports/state_store.js';
+
+/** The rows themselves: transactions, ranges and the history of changes. */
+export class RowTable {
+  private readonly rows = new Map<string, StoredRow>();
+  private history: StoredRow[] = [];
+  private oldestVersion = 0;
+  private waiters: (() => void)[] = [];
+  version = 0;
+
+  apply(tx: Transaction): TransactionResult {
+    const isMet = tx.expect.every(
+      e => (this.rows.get(e.key)?.version ?? 0) === e.version,
+    );
+    if (!isMet) {
+      const rows = tx.expect.flatMap(e => this.rows.get(e.key) ?? []);
+      return {type: 'conflict', rows};
+    }
+    this.version++;
+    for (const {key, value} of tx.put) this.put(key, value);
+    for (const key of tx.remove) this.put(key, undefined);
+    const {waiters} = this;
+    this.waiters = [];
+    for (const wake of waiters) wake();
+    return {type: 'committed', version: this.version};
+  }
+
+  range(prefix: string): RowsAt {
+    const rows = [...this.rows.values()]
+      .filter(r => r.key.startsWith(prefix))
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    return {rows, version: this.version};
+  }
+
+  after(version: number): Changes {
+    if (version < this.oldestVersion) return 'historyLost';
+    const rows = this.history.filter(r => r.version > version);
+    return {rows, version: this.version};
+  }
+
+  forgetHistory(): void {
+    this.history = [];
+    this.oldestVersion = this.version;
+  }
+
+  /** Calls back at the next change. */
+  onChange(wake: () => void): void {
+    this.waiters.push(wake);
+  }
+
+  private put(key: string, value: Uint8Array | undefined): void {
+    const row = {key, value, version: this.version};
+    this.history.push(row);
+    if (value === undefined) this.rows.delete(key);
+    else this.rows.set(key, row);
+  }
+}
+
+export interface RowStoreFaults {
+  /** Reading and writing fail at once. */
+  isDown: boolean;
+  /** The next writes are done and not answered. */
+  lostAnswers: number;
+  /** The next writes are done later than their sender waits for. */
+  lateWrites: number;
+}
+
+const LATE_BY_MS = 150;
+
+/** One process's client of a table that all processes share. */
+export class MemoryStateStore extends StateStore {
+  readonly faults: RowStoreFaults = {
+    isDown: false,
+    lostAnswers: 0,
+    lateWrites: 0,
+  };
+
+  constructor(private readonly table: RowTable) {
+    super();
+  }
+
+  async transact(tx: Transaction): Promise<TransactionResult> {
+    await pause();
+    if (this.faults.isDown) return {type: 'refused', reason: 'it is down'};
+    if (this.faults.lateWrites > 0) {
+      this.faults.lateWrites--;
+      setTimeout(() => this.table.apply(tx), LATE_BY_MS);
+      return {type: 'unknown', reason: 'no answer in time'};
+    }
+    const result = this.table.apply(tx);
+    if (this.faults.lostAnswers === 0) return result;
+    this.faults.lostAnswers--;
+    return {type: 'unknown', reason: 'the answer was lost'};
+  }
+
+  async read(prefix: string): Promise<RowsAt> {
+    await pause();
+    this.requireUp();
+    return this.table.range(prefix);
+  }
+
+  async changes(afterVersion: number, waitMs: number): Promise<Changes> {
+    await pause();
+    this.requireUp();
+    if (this.table.version <= afterVersion) await this.nextChange(waitMs);
+    this.requireUp();
+    return this.table.after(afterVersion);
+  }
+
+  async close(): Promise<void> {
+    await pause();
+  }
+
+  private requireUp(): void {
+    if (this.faults.isDown)
+      throw new TableServiceError('the store is down; wait until it is back');
+  }
+
+  private nextChange(waitMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const timer = setTimeout(resolve, waitMs);
+      this.table.onChange(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+}
+
+function pause(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
--- /dev/null
+++ b/tests/steps/job_steps.ts
@@ -0,0 +1,289 @@
+/** Steps about jobs over gates, agents and stand-ins of the store and the workers. */
+import assert from 'node:assert/strict';
+import {randomBytes} from 'node:crypto';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {formatTask, type JobSpec} from '../../src/jobs/job.js';
+import {
+  type GateHandle,
+  JobCluster,
+  makeStep,
+} from '../fixtures/job_cluster.js';
+
+const SUBMIT_TIMEOUT_MS = 5000;
+const STEP_TIMEOUT_MS = 60_000;
+
+let cluster: JobCluster | undefined;
+let firstLeader: GateHandle | undefined;
+let impossible: JobSpec | undefined;
+
+function world(): JobCluster {
+  assert.ok(cluster, 'the scenario starts its gates first');
+  return cluster;
+}
+
+After(async () => {
+  await cluster?.stop();
+  cluster = undefined;
+});
+
+async function handIn(job: JobSpec, at?: GateHandle): Promise<void> {
+  const gate = (at ?? world().gates[0]).gate;
+  await world().until(`job ${job.id} is accepted`, async () => {
+    const result = await gate.service.submit(job, SUBMIT_TIMEOUT_MS);
+    return result.type === 'accepted';
+  });
+}
+
+async function handInMany(
+  jobs: number,
+  tasks: number,
+  at?: GateHandle,
+): Promise<void> {
+  const specs = Array.from({length: jobs}, () =>
+    world().makeJob([makeStep({count: tasks})]),
+  );
+  await Promise.all(specs.map(s => handIn(s, at)));
+}
+
+function other(leader: GateHandle): GateHandle {
+  const found = world().gates.find(g => g !== leader);
+  assert.ok(found, 'there is another gate');
+  return found;
+}
+
+function taskNames(): string[] {
+  return world().jobs.flatMap(job =>
+    job.steps.flatMap((step, s) =>
+      Array.from({length: step.count}, (unused, index) =>
+        formatTask({job: job.id, occurrence: 0, step: s, index}),
+      ),
+    ),
+  );
+}
+
+Given(
+  '{int} gates and {int} agents whose tasks run {int} ms',
+  {timeout: STEP_TIMEOUT_MS},
+  async (gates: number, agents: number, runMs: number) => {
+    cluster = new JobCluster();
+    await cluster.start(gates, agents, runMs);
+  },
+);
+
+Given(
+  'the next {int} starts of each worker are carried out {int} ms late',
+  (starts: number, ms: number) => {
+    for (const {worker} of world().agents) {
+      worker.faults.lateStarts = starts;
+      worker.faults.lateByMs = ms;
+    }
+  },
+);
+
+Given(
+  'the next {int} starts of each worker are not answered',
+  (starts: number) => {
+    for (const {worker} of world().agents) worker.faults.lostAnswers = starts;
+  },
+);
+
+Given('everything fails on all workers', () => {
+  for (const {worker} of world().agents) worker.faults.failsAll = true;
+});
+
+Given(
+  'the store loses the next {int} answers to the seat holder',
+  (answers: number) => {
+    firstLeader = world().leader!;
+    firstLeader.store.faults.lostAnswers = answers;
+  },
+);
+
+Given(
+  'the store carries out the next {int} writes of the seat holder late',
+  (writes: number) => {
+    firstLeader = world().leader!;
+    firstLeader.store.faults.lateWrites = writes;
+  },
+);
+
+Given('the store is down for all gates', () => {
+  for (const {store} of world().gates) store.faults.isDown = true;
+});
+
+When(
+  '{int} jobs of {int} tasks are handed in',
+  {timeout: STEP_TIMEOUT_MS},
+  (jobs: number, tasks: number) => handInMany(jobs, tasks),
+);
+
+When(
+  '{int} jobs of {int} tasks are handed in to the other gate',
+  {timeout: STEP_TIMEOUT_MS},
+  (jobs: number, tasks: number) => handInMany(jobs, tasks, other(firstLeader!)),
+);
+
+When(
+  'a gang of {int} tasks is handed in',
+  {timeout: STEP_TIMEOUT_MS},
+  async (tasks: number) => {
+    const accelerators = 8;
+    const request = {cpu: 1000, memoryMb: 1000, accelerators};
+    await handIn(
+      world().makeJob([makeStep({count: tasks, gang: true, request})]),
+    );
+  },
+);
+
+When(
+  'one job is handed in at each gate at once, and again after its end',
+  {timeout: STEP_TIMEOUT_MS},
+  async () => {
+    const job = world().makeJob([makeStep()]);
+    await Promise.all(world().gates.map(g => handIn(job, g)));
+    await world().untilAllEnd('completed');
+    await Promise.all(world().gates.map(g => handIn(job, g)));
+  },
+);
+
+When(
+  '{int} tasks are running',
+  {timeout: STEP_TIMEOUT_MS},
+  async (tasks: number) => {
+    await world().until(
+      `${tasks} tasks run`,
+      () => world().ledger.liveTasks.length >= tasks,
+    );
+  },
+);
+
+When('the seat holder dies', async () => {
+  firstLeader = await world().killLeader();
+});
+
+When('the seat holder leaves', {timeout: STEP_TIMEOUT_MS}, async () => {
+  const leader = world().leader!;
+  world().gates = world().gates.filter(g => g !== leader);
+  await leader.gate.stop();
+});
+
+When('the seat holder is cut off from the store', () => {
+  firstLeader = world().leader!;
+  firstLeader.store.faults.isDown = true;
+});
+
+When('the first seat holder reaches the store again', () => {
+  firstLeader!.store.faults.isDown = false;
+});
+
+When('another gate leads', {timeout: STEP_TIMEOUT_MS}, async () => {
+  await world().until('another gate leads', () =>
+    world().gates.some(g => g !== firstLeader && g.gate.leads),
+  );
+});
+
+When('each agent is restarted', async () => {
+  for (const agent of world().agents) await world().restartAgent(agent);
+});
+
+When('a worker restarts under its id', () => {
+  const handle = world().agents.find(a => a.worker.runningTasks.length > 0);
+  assert.ok(handle, 'a worker runs tasks');
+  handle.worker.restart();
+});
+
+When('an instance is lost', async () => {
+  const handle = world().agents.find(a => a.worker.runningTasks.length > 0);
+  assert.ok(handle, 'a worker runs tasks');
+  await world().loseInstance(handle);
+});
+
+When('a worker gives no answer', () => {
+  const handle = world().agents.find(a => a.worker.runningTasks.length > 0);
+  assert.ok(handle, 'a worker runs tasks');
+  handle.worker.faults.isSilent = true;
+});
+
+When('the store forgets its history', () => world().table.forgetHistory());
+
+When('all jobs are cancelled', {timeout: STEP_TIMEOUT_MS}, async () => {
+  const {service} = world().gates[0].gate;
+  for (const job of world().jobs)
+    assert.equal(await service.cancel(job.id, SUBMIT_TIMEOUT_MS), 'cancelled');
+});
+
+When(
+  'a job asks for {int} accelerators for one task',
+  async (count: number) => {
+    const request = {cpu: 1, memoryMb: 1, accelerators: count};
+    impossible = world().makeJob([makeStep({request})]);
+    const {service} = world().gates[0].gate;
+    await world().until('the worker is known', async () => {
+      const result = await service.submit(
+        {
+          ...impossible!,
+          id: randomBytes(8).toString('hex'),
+          steps: [makeStep({request: {...request, cpu: 1e9}})],
+        },
+        SUBMIT_TIMEOUT_MS,
+      );
+      return result.type === 'invalid';
+    });
+  },
+);
+
+Then('all jobs are completed', {timeout: STEP_TIMEOUT_MS}, () =>
+  world().untilAllEnd('completed'),
+);
+
+Then('the jobs are shown as failed', {timeout: STEP_TIMEOUT_MS}, () =>
+  world().untilAllEnd('failed'),
+);
+
+Then(
+  'all jobs are cancelled for their callers',
+  {timeout: STEP_TIMEOUT_MS},
+  () => world().untilAllEnd('cancelled'),
+);
+
+Then('nothing runs in the end', {timeout: STEP_TIMEOUT_MS}, async () => {
+  await world().until(
+    'nothing runs',
+    () => world().ledger.liveTasks.length === 0,
+  );
+});
+
+Then('no promise about runs is broken', () => {
+  assert.deepEqual(world().ledger.faults, []);
+});
+
+Then('no task was started twice', () => {
+  const twice = taskNames().filter(t => world().ledger.startsOf(t) > 1);
+  assert.deepEqual(twice, []);
+});
+
+Then('no task was started more than {int} times', (most: number) => {
+  for (const task of taskNames())
+    assert.ok(world().ledger.startsOf(task) <= most, task);
+});
+
+Then('all members were started equally often', () => {
+  const starts = new Set(taskNames().map(t => world().ledger.startsOf(t)));
+  assert.equal(starts.size, 1);
+});
+
+Then('a hand-in is refused and can be repeated later', async () => {
+  const job = world().makeJob([makeStep()]);
+  const {service} = world().gates[0].gate;
+  const result = await service.submit(job, SUBMIT_TIMEOUT_MS);
+  assert.equal(result.type, 'refused');
+  assert.ok(result.type === 'refused' && result.retryAfterMs > 0);
+  world().jobs.pop();
+});
+
+Then('it is refused as impossible and not stored', async () => {
+  const {service} = world().gates[0].gate;
+  const result = await service.submit(impossible!, SUBMIT_TIMEOUT_MS);
+  assert.equal(result.type, 'invalid');
+  assert.equal(world().table.range(`job/${impossible!.id}`).rows.length, 0);
+});
