A worker that gives no answer is asked for no longer lease

Ruled out: the takeover (none happened), the seat holder's bound (the agent was in contact). Change: no lease is extended while the newest call has no answer; nothing is started there. Test: 'A worker is cut off from its agent until its leases have run out' with longer tasks failed before and passes after.

--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -51,6 +51,8 @@
   private isClosed = false;
   private isLapseTold = false;
   private hasListed = false;
+  /** Calls without an answer since the worker's last one. */
+  private unanswered = 0;
 
   constructor(
     agent: string,
@@ -110,11 +112,11 @@
     if (!this.table.begin(task, run, clock.nowMs())) return;
     const giveUpAtMs = clock.nowMs() + START_GIVE_UP_MS;
     let mayHaveStarted = false;
-    let reason = 'no answer in time';
+    let reason: string = 'no answer in time';
     while (this.isWanted(order) && clock.nowMs() < giveUpAtMs) {
       const reply = await this.tryStart(order);
       if (reply === 'noLease') {
-        reason = 'no contact with the seat holder';
+        reason = 'no contact with the seat holder or the worker, or it leaves';
         break;
       }
       if (reply.type === 'started') return this.confirm(order);
@@ -175,8 +177,9 @@
   private async tryStart(order: StartOrder): Promise<StartReply | 'noLease'> {
     const {worker, clock, lease, log, metrics} = this.ctx;
     const startMs = clock.nowMs();
+    if (this.report.draining || !this.isReachable) return 'noLease';
     const leaseUntilMs = lease.nextLeaseUntilMs(this.moment());
-    if (leaseUntilMs === undefined || this.report.draining) return 'noLease';
+    if (leaseUntilMs === undefined) return 'noLease';
     const epoch = this.ctx.epoch();
     const {task, run, payload, checkpoint} = order;
     const reply = await worker.start(
@@ -231,16 +234,27 @@
       {
         fencingToken: this.ctx.epoch(),
         acknowledgedUpTo: this.table.acknowledgedUpTo,
-        leaseUntilMs: this.table.isEmpty
-          ? undefined
-          : lease.nextLeaseUntilMs(this.moment()),
+        leaseUntilMs: this.extendsLease
+          ? lease.nextLeaseUntilMs(this.moment())
+          : undefined,
         waitMs,
       },
       waitMs + ANSWER_TIMEOUT_MS,
     );
+    if (reply.type === 'unanswered' || reply.type === 'unreachable')
+      this.unanswered++;
+    else this.unanswered = 0;
     return !this.isClosed && this.applyReply(reply, askedAtMs);
   }
 
+  /**
+   * A call without an answer may still be carried out, so a worker that does not answer
+   * is asked for no longer lease: else it could never be told when all have run out.
+   */
+  private get extendsLease(): boolean {
+    return !this.table.isEmpty && this.unanswered === 0;
+  }
+
   private applyReply(reply: RenewReply, askedAtMs: number): boolean {
     const {clock, lease, log} = this.ctx;
     if (reply.type === 'otherIncarnation') {
--- a/tests/features/job_recovery.feature
+++ b/tests/features/job_recovery.feature
@@ -60,9 +60,9 @@
     And no promise about runs is broken
 
   Scenario: A worker is cut off from its agent until its leases have run out
-    Given 2 gates and 3 agents whose tasks run 400 ms
+    Given 2 gates and 3 agents whose tasks run 4000 ms
     When 6 jobs of 2 tasks are handed in
-    And 2 tasks are running
+    And 12 tasks are running
     And a worker gives no answer
     Then all jobs are completed
     And no promise about runs is broken
