--- a/src/gate/job_service.ts
+++ b/src/gate/job_service.ts
@@ -14,6 +14,7 @@
   encodeJob,
   rowKeys,
 } from '../jobs/run_record.js';
+import {returnAfterMs} from '../jobs/return_time.js';
 import {type PartLog} from '../plugins/event_log.js';
 import {type Metrics} from '../plugins/metrics.js';
 import {type StateStore} from '../ports/state_store.js';
@@ -23,19 +24,13 @@
 /** Largest job row, in bytes: a row of the store holds 64 KiB in base64. */
 const MAX_JOB_BYTES = 45_000;
 const READ_TIMEOUT_MS = 1000;
-/** Wait that a caller is asked for when the store does not answer, in ms. */
-const STORE_RETRY_MS = 1000; // outages last seconds; a second finds the end of one soon
 /** Time for which a hand-in is tried again while the store turns it away, in ms. */
-const BUSY_MS = 200; // a fifth of the wait that the caller is asked for
+const BUSY_MS = 200; // a fifth of the shortest wait that a caller is asked for
 
 export type SubmitResult =
   | {readonly type: 'accepted'}
   /** It never ran and never will through this hand-in. */
-  | {
-      readonly type: 'refused';
-      readonly reason: string;
-      readonly retryAfterMs: number;
-    }
+  | {readonly type: 'refused'; readonly reason: string}
   | {readonly type: 'invalid'; readonly reason: string}
   /** It may have been stored. */
   | {readonly type: 'unknown'; readonly reason: string};
@@ -43,7 +38,7 @@
 export type LookResult =
   | {readonly type: 'found'; readonly state: JobState}
   | {readonly type: 'absent'}
-  | {readonly type: 'unavailable'; readonly retryAfterMs: number};
+  | {readonly type: 'unavailable'};
 
 export type CancelResult = 'cancelled' | 'absent' | 'unavailable' | 'unknown';
 
@@ -72,6 +67,11 @@
     return this.ctx.clock.nowMs() - this.ctx.freshAsOfMs() < FRESH_MS;
   }
 
+  /** Time after which a caller that is refused now should come back, in ms. */
+  get returnAfterMs(): number {
+    return returnAfterMs(this.ctx.clock.nowMs() - this.ctx.freshAsOfMs());
+  }
+
   async submit(job: JobSpec, timeoutMs: number): Promise<SubmitResult> {
     const startMs = this.ctx.clock.nowMs();
     const result = await this.trySubmit(job, timeoutMs);
@@ -91,8 +91,7 @@
 
   /** State of a job. A job that the copy lacks is looked for in the store. */
   async look(id: string): Promise<LookResult> {
-    if (!this.isFresh)
-      return {type: 'unavailable', retryAfterMs: STORE_RETRY_MS};
+    if (!this.isFresh) return {type: 'unavailable'};
     const state = this.book.state(id);
     if (state) return {type: 'found', state};
     try {
@@ -103,7 +102,7 @@
         job: id,
         reason: (err as Error).message,
       });
-      return {type: 'unavailable', retryAfterMs: STORE_RETRY_MS};
+      return {type: 'unavailable'};
     }
   }
 
@@ -138,11 +137,7 @@
       BUSY_MS,
     );
     if (result.type === 'refused')
-      return {
-        type: 'refused',
-        reason: result.reason,
-        retryAfterMs: STORE_RETRY_MS,
-      };
+      return {type: 'refused', reason: result.reason};
     if (result.type === 'unknown')
       return {type: 'unknown', reason: result.reason};
     // A conflict means that the job is stored already: hand-ins are idempotent.
