--- a/src/gate/job_service.ts
+++ b/src/gate/job_service.ts
@@ -14,7 +14,6 @@
   encodeJob,
   rowKeys,
 } from '../jobs/run_record.js';
-import {returnAfterMs} from '../jobs/return_time.js';
 import {type PartLog} from '../plugins/event_log.js';
 import {type Metrics} from '../plugins/metrics.js';
 import {type StateStore} from '../ports/state_store.js';
@@ -24,8 +23,10 @@
 /** Largest job row, in bytes: a row of the store holds 64 KiB in base64. */
 const MAX_JOB_BYTES = 45_000;
 const READ_TIMEOUT_MS = 1000;
+/** Time after which a refused caller should come back, in ms. */
+export const RETURN_AFTER_MS = 1000; // callers wait 3 s in all: three more tries
 /** Time for which a hand-in is tried again while the store turns it away, in ms. */
-const BUSY_MS = 200; // a fifth of the shortest wait that a caller is asked for
+const BUSY_MS = 200; // a fifth of the wait that a caller is asked for
 
 export type SubmitResult =
   | {readonly type: 'accepted'}
@@ -67,11 +68,6 @@
     return this.ctx.clock.nowMs() - this.ctx.freshAsOfMs() < FRESH_MS;
   }
 
-  /** Time after which a caller that is refused now should come back, in ms. */
-  get returnAfterMs(): number {
-    return returnAfterMs(this.ctx.clock.nowMs() - this.ctx.freshAsOfMs());
-  }
-
   async submit(job: JobSpec, timeoutMs: number): Promise<SubmitResult> {
     const startMs = this.ctx.clock.nowMs();
     const result = await this.trySubmit(job, timeoutMs);
