--- a/src/gate/row_follower.ts
+++ b/src/gate/row_follower.ts
@@ -9,7 +9,7 @@
 const WAIT_MS = 700; // short, so that a dead connection shows within about a second
 const READ_TIMEOUT_MS = 2500;
 const BACKOFF_BASE_MS = 30;
-const BACKOFF_CAP_MS = 500;
+const BACKOFF_CAP_MS = 250; // the end of an outage is found within a second
 /** Pause after changes for processes that don't need them at once, in ms. */
 const RELAXED_PAUSE_MS = 120; // bounds the calls of a gate that only answers callers
 
