--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,6 +16,7 @@
   );
   const group = forbidden.map(f => `../${f}/*`);
   group.push(
+    '../../platform/*',
     '../../standins/*',
     '../../tests/*',
     '../../demo/*',
--- a/src/jobs/hand_out_order.ts
+++ b/src/jobs/hand_out_order.ts
@@ -5,7 +5,7 @@
 import {type Queue} from './job.js';
 
 /** Past this many times its objective a job earns nothing any more. */
-export const LATE_LIMIT_OBJECTIVES = 3; // the users' terms: up to three times is late
+const LATE_LIMIT_OBJECTIVES = 3; // the users' terms: up to three times is late
 
 export interface WaitingWork {
   readonly queue: Queue;
--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -138,18 +138,13 @@
     this.contactMs.set(agent, nowMs);
   }
 
-  /** Time of the last contact with an agent; undefined when there was none. */
-  lastContactMs(agent: string): number | undefined {
-    return this.contactMs.get(agent);
-  }
-
   recordInventory(agent: string, inventory: Inventory, nowMs: number): void {
     const {worker, runs, ends} = inventory;
     const key = workerKey(agent, worker.id, worker.bornMs);
     if (!this.loseOlderIncarnations(agent, key, worker.bornMs, nowMs)) return;
     this.recordContact(agent, nowMs);
     const view = this.viewOf(agent, key, inventory);
-    view.update(worker, nowMs);
+    view.update(worker);
     this.recordEnds(agent, key, ends, nowMs);
     this.recordRuns(key, runs, nowMs);
     const known = new Map(runs.map(r => [`${r.task}#${r.run}`, r]));
@@ -195,7 +190,7 @@
         task.progressAtMs = nowMs;
       }
       if (news.checkpoint && news.checkpoint !== task.checkpoint)
-        this.keepCheckpoint(task, news.checkpoint, nowMs);
+        this.keepCheckpoint(task, news.checkpoint);
     }
   }
 
@@ -308,11 +303,6 @@
     });
   }
 
-  /** Services of the workers in contact, with their largest capacities. */
-  get workers(): Iterable<WorkerView> {
-    return this.pool.workers.values();
-  }
-
   get waitingUnits(): number {
     return this.waiting.size;
   }
@@ -550,7 +540,7 @@
       reason: end.kind,
       ms: Math.round(ranMs(task, nowMs)),
     });
-    if (end.checkpoint) this.keepCheckpoint(task, end.checkpoint, nowMs);
+    if (end.checkpoint) this.keepCheckpoint(task, end.checkpoint);
     if (end.kind === EndKind.DONE) this.finishTask(task, nowMs);
     else if (end.kind === EndKind.FAILED) this.failRun(task, end.run, nowMs);
     else this.leaveWorker(task, nowMs);
@@ -651,15 +641,10 @@
     this.jobs.delete(id);
   }
 
-  private keepCheckpoint(
-    task: TaskRun,
-    checkpoint: string,
-    nowMs: number,
-  ): void {
+  private keepCheckpoint(task: TaskRun, checkpoint: string): void {
     const members = task.unit?.isGang ? task.unit.tasks : [task];
     for (const member of members) {
       member.checkpoint = checkpoint;
-      member.checkpointAtMs = nowMs;
       this.markDirty(member);
     }
   }
--- a/src/jobs/job_run.ts
+++ b/src/jobs/job_run.ts
@@ -26,8 +26,6 @@
   placedAtMs = 0;
   /** When the worker said that it runs; 0 when it has not. */
   runningSinceMs = 0;
-  /** When the newest checkpoint came, in ms of the clock. */
-  checkpointAtMs = 0;
   percent = 0;
   /** When the newest news of the run came, in ms of the clock. */
   newsAtMs = 0;
--- a/src/jobs/worker_pool.ts
+++ b/src/jobs/worker_pool.ts
@@ -43,8 +43,6 @@
   free: Resources;
   /** Nothing is placed here before this time, in ms of the clock. */
   blockedUntilMs = 0;
-  /** Since when the worker leaves, in ms of the clock. */
-  drainEndsAtMs = Infinity;
 
   constructor(
     readonly agent: string,
@@ -54,11 +52,8 @@
     this.free = report.capacity;
   }
 
-  update(report: WorkerReport, nowMs: number): void {
+  update(report: WorkerReport): void {
     this.report = report;
-    this.drainEndsAtMs = report.draining
-      ? nowMs + report.drainRemainingMs
-      : Infinity;
     this.free = [...this.occupants.values()].reduce(
       (room, o) => subtractResources(room, o.request),
       report.capacity,
@@ -80,10 +75,6 @@
     this.free = addResources(this.free, occupant.request);
   }
 
-  get isIdle(): boolean {
-    return this.occupants.size === 0;
-  }
-
   accepts(nowMs: number): boolean {
     return !this.report.draining && nowMs >= this.blockedUntilMs;
   }
--- a/src/ports/task_worker.ts
+++ b/src/ports/task_worker.ts
@@ -100,8 +100,6 @@
 
 /** All calls end by `timeoutMs` and never throw. */
 export abstract class TaskWorker {
-  /** Id of the incarnation that answers now; undefined when none does. */
-  abstract identify(timeoutMs: number): Promise<string | undefined>;
   abstract start(
     workerId: string,
     req: StartRequest,
--- a/standins/task_worker.ts
+++ b/standins/task_worker.ts
@@ -110,10 +110,6 @@
     return [...this.runs.values()].map(r => r.task);
   }
 
-  async identify(): Promise<string | undefined> {
-    return Promise.resolve(this.faults.isSilent ? undefined : this.id);
-  }
-
   async start(
     workerId: string,
     req: StartRequest,
