A successor ends jobs whose end was in a part of a commit that never went out

Cause: found by reading: a commit of more than 90 rows goes out in parts; a holder that died between them left a job whose tasks were all done, or out of attempts, without its end. The successor would never have completed the one, and started the other again (BUDGET). Ruled out: orders between the parts (they wait for the last one). Change: each job is judged when it is loaded. Test: 'A holder dies between the two parts of a large commit' failed before, passes after.

--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -331,6 +331,15 @@
     }
     if (!job.isEnded) this.openDueOccurrences(job, nowMs, wallMs);
     for (const task of job.tasks) if (task.isPlaced) this.adopt(task, nowMs);
+    if (!job.isEnded) this.endIfDecided(job, nowMs);
+  }
+
+  /** A large commit goes out in parts; the end of a job may be in one that never did. */
+  private endIfDecided(job: JobRun, nowMs: number): void {
+    const {maxAttempts} = job.queueIn(this.tables.queues);
+    if (job.tasks.some(t => t.failures >= maxAttempts))
+      this.finishJob(job, Fate.FAILED, nowMs);
+    else if (job.isDone) this.finishJob(job, Fate.COMPLETED, nowMs);
   }
 
   private adopt(task: TaskRun, nowMs: number): void {
--- a/tests/features/job_recovery.feature
+++ b/tests/features/job_recovery.feature
@@ -161,3 +161,13 @@
 
   Scenario: Random histories of faults keep every promise
     Then 400 random histories of holders, agents, workers and orders keep every promise
+
+  Scenario Outline: A holder dies between the two parts of a large commit
+    Given the rows tell that the only task of a job <tells>, and not how the job ended
+    When another holder starts from the rows
+    Then it commits that the job is <fate> and starts nothing
+
+    Examples:
+      | tells                        | fate      |
+      | is done                      | completed |
+      | has used all of its attempts | failed    |
--- a/tests/steps/job_steps.ts
+++ b/tests/steps/job_steps.ts
@@ -3,11 +3,25 @@
 import {randomBytes} from 'node:crypto';
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import fc from 'fast-check';
+import {JobBook} from '../../src/jobs/job_book.js';
+import {JobEngine} from '../../src/jobs/job_engine.js';
+import {
+  type TaskRecord,
+  TaskState,
+  decodeFate,
+  encodeBlock,
+  encodeJob,
+  parseRowKey,
+  rowKeys,
+} from '../../src/jobs/run_record.js';
+import {type RowValue} from '../../src/ports/state_store.js';
 import {Random} from '../../src/core/random.js';
 import {formatTask, type JobSpec} from '../../src/jobs/job.js';
 import {
   type GateHandle,
   JobCluster,
+  QUEUE,
+  TABLES,
   makeStep,
 } from '../fixtures/job_cluster.js';
 import {RecoveryBench} from '../fixtures/recovery_bench.js';
@@ -382,3 +396,57 @@
     assert.ok(takeovers > histories, 'the histories take over');
   },
 );
+
+let partial: {readonly book: JobBook; readonly job: JobSpec} | undefined;
+let puts: readonly RowValue[] = [];
+
+Given(
+  /^the rows tell that the only task of a job (is done|has used all of its attempts), and not how the job ended$/,
+  (tells: string) => {
+    const job: JobSpec = {
+      id: 'j1',
+      queue: QUEUE.name,
+      acceptedWallMs: 0,
+      payload: 'p',
+      steps: [makeStep()],
+      queueAtHandIn: QUEUE,
+    };
+    const isDone = tells === 'is done';
+    const task: TaskRecord = {
+      state: isDone ? TaskState.DONE : TaskState.WAITING,
+      run: QUEUE.maxAttempts,
+      worker: '',
+      checkpoint: '',
+      failures: isDone ? 0 : QUEUE.maxAttempts,
+    };
+    const ref = {job: job.id, occurrence: 0, step: 0, block: 0};
+    const book = new JobBook();
+    for (const [key, value] of [
+      [rowKeys.job(job.id), encodeJob(job)],
+      [rowKeys.block(ref), encodeBlock([task])],
+    ] as const)
+      book.apply(parseRowKey(key)!, {key, value, version: 1});
+    partial = {book, job};
+  },
+);
+
+When('another holder starts from the rows', () => {
+  const engine = new JobEngine(TABLES, {
+    silenceBoundMs: 1000,
+    keepEndedMs: 60_000,
+    onEvent: () => undefined,
+  });
+  engine.load(partial!.book, 0, 0);
+  engine.tick(100, 100);
+  assert.equal(engine.waitingUnits, 0);
+  puts = engine.takeBatch()?.puts ?? [];
+});
+
+Then(
+  /^it commits that the job is (completed|failed) and starts nothing$/,
+  (fate: string) => {
+    const row = puts.find(p => p.key === rowKeys.fate(partial!.job.id));
+    assert.ok(row, 'the fate is committed');
+    assert.equal(decodeFate(row.value), fate);
+  },
+);
