--- a/standins/task_worker.ts
+++ b/standins/task_worker.ts
@@ -75,6 +75,8 @@
     lostAnswers: 0,
     failsAll: false,
   };
+  /** Starts that were carried out. */
+  startCount = 0;
   private runs = new Map<string, Run>();
   private ends: EndedRun[] = [];
   private highestRun = new Map<string, number>();
@@ -210,6 +212,7 @@
       endsAtMs: clockMs + this.runMs,
     };
     this.runs.set(req.task, run);
+    this.startCount++;
     this.ledger.started(req.task);
     if (this.faults.failsAll) this.end(run, EndKind.FAILED);
     return {type: 'started', clockMs};
--- a/tests/features/job_recovery.feature
+++ b/tests/features/job_recovery.feature
@@ -171,3 +171,19 @@
       | tells                        | fate      |
       | is done                      | completed |
       | has used all of its attempts | failed    |
+
+  Scenario: A worker that leaves gets nothing new, and finishes what it runs
+    Given 2 gates and 2 agents whose tasks run 900 ms
+    When 2 jobs of 2 tasks are handed in
+    And 4 tasks are running
+    And the worker that runs them says that it leaves
+    And 2 jobs of 3 tasks are handed in
+    Then all jobs are completed
+    And no task was started twice
+    And that worker started nothing more
+
+  Scenario: Occurrences run on time, none early, and the job ends with the last
+    Given a job that runs 3 times every 1000 ms from 500 ms on
+    When its holder is replaced after 1200 ms
+    Then an occurrence starts at 500, 1500 and 2500 ms, within 100 ms
+    And the job is completed with the last
--- a/tests/steps/job_steps.ts
+++ b/tests/steps/job_steps.ts
@@ -14,10 +14,12 @@
   parseRowKey,
   rowKeys,
 } from '../../src/jobs/run_record.js';
+import {sleep} from '../../src/plugins/sleep.js';
 import {type RowValue} from '../../src/ports/state_store.js';
 import {Random} from '../../src/core/random.js';
 import {formatTask, type JobSpec} from '../../src/jobs/job.js';
 import {
+  type AgentHandle,
   type GateHandle,
   JobCluster,
   QUEUE,
@@ -29,6 +31,7 @@
 const SUBMIT_TIMEOUT_MS = 5000;
 const STEP_TIMEOUT_MS = 60_000;
 const HISTORY_SEED = 20261204;
+const NO_FAILURES = 0;
 
 let cluster: JobCluster | undefined;
 let firstLeader: GateHandle | undefined;
@@ -450,3 +453,54 @@
     assert.equal(decodeFate(row.value), fate);
   },
 );
+
+let leaving:
+  {readonly handle: AgentHandle; readonly starts: number} | undefined;
+
+When('the worker that runs them says that it leaves', async () => {
+  const handle = world().agents.find(a => a.worker.runningTasks.length > 0);
+  assert.ok(handle, 'a worker runs tasks');
+  handle.isDraining = true;
+  // Heartbeats come every 100 ms; the agent knows after the next ones.
+  await sleep(300);
+  leaving = {handle, starts: handle.worker.startCount};
+});
+
+Then('that worker started nothing more', () => {
+  assert.equal(leaving?.handle.worker.startCount, leaving?.starts);
+});
+
+let occurrences: RecoveryBench | undefined;
+let schedule = {occurrences: 0, firstWallMs: 0, intervalMs: 0};
+
+Given(
+  'a job that runs {int} times every {int} ms from {int} ms on',
+  (times: number, everyMs: number, firstMs: number) => {
+    occurrences = new RecoveryBench(new Random(HISTORY_SEED), 2, NO_FAILURES);
+    schedule = {occurrences: times, firstWallMs: firstMs, intervalMs: everyMs};
+    occurrences.submit([makeStep()], schedule);
+  },
+);
+
+When('its holder is replaced after {int} ms', (ms: number) => {
+  occurrences!.advance(ms, false);
+  occurrences!.takeOver(true);
+  occurrences!.advance(5000, false);
+});
+
+Then(
+  'an occurrence starts at {int}, {int} and {int} ms, within {int} ms',
+  (first: number, second: number, third: number, withinMs: number) => {
+    const starts = occurrences!.starts.map(s => s.atMs);
+    assert.equal(starts.length, schedule.occurrences);
+    [first, second, third].forEach((dueMs, i) => {
+      assert.ok(starts[i] >= dueMs, `${starts[i]} is not early`);
+      assert.ok(starts[i] <= dueMs + withinMs, `${starts[i]} is on time`);
+    });
+  },
+);
+
+Then('the job is completed with the last', () => {
+  assert.equal(occurrences!.stateOf('j0'), 'completed');
+  assert.deepEqual(occurrences!.faults, []);
+});
