--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -113,7 +113,6 @@
       metrics,
       freshAsOfMs: () => this.follower.freshAsOfMs,
       capacities: () => this.capacitiesByService(),
-      onCommitted: () => undefined,
     });
     this.agents = new AgentServer(
       {host: options.linkHost, port: options.linkPort},
--- a/src/gate/job_service.ts
+++ b/src/gate/job_service.ts
@@ -53,8 +53,6 @@
   /** When the newest successful reading of the rows was asked for. */
   readonly freshAsOfMs: () => number;
   readonly capacities: () => Capacities;
-  /** Called when a job or a cancellation is committed here. */
-  readonly onCommitted: () => void;
 }
 
 export class JobService {
@@ -137,7 +135,6 @@
     if (result.type === 'unknown')
       return {type: 'unknown', reason: result.reason};
     // A conflict means that the job is stored already: hand-ins are idempotent.
-    this.ctx.onCommitted();
     return {type: 'accepted'};
   }
 
@@ -189,7 +186,6 @@
     );
     if (result.type === 'refused') return 'unavailable';
     if (result.type === 'unknown') return 'unknown';
-    this.ctx.onCommitted();
     return 'cancelled';
   }
 }
--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -3,8 +3,9 @@
  * rows to be committed, and orders. An order that depends on a row is held until the row
  * is committed, so that a successor knows of every run that may exist.
  */
+import {getOrAdd} from '../core/fair_queue.js';
 import {type RowValue} from '../ports/state_store.js';
-import {EndKind} from '../ports/task_worker.js';
+import {EndKind, type RunRef} from '../ports/task_worker.js';
 import {
   type AddressedOrder,
   type EndNews,
@@ -155,9 +156,7 @@
         this.repeatOrder(task, nowMs);
     }
     for (const run of runs) {
-      const task = this.tasks.get(run.task);
-      if (task?.isPlaced && task.worker === key && task.run === run.run)
-        continue;
+      if (this.findPlaced(key, run)) continue;
       this.log({event: 'strayRun', task: run.task, run: run.run, worker: key});
       this.order(agent, {
         type: 'stop',
@@ -177,9 +176,8 @@
   /** News of runs that go on; says nothing of those that it does not name. */
   recordRuns(key: string, runs: readonly RunNews[], nowMs: number): void {
     for (const news of runs) {
-      const task = this.tasks.get(news.task);
-      if (!task?.isPlaced || task.worker !== key || task.run !== news.run)
-        continue;
+      const task = this.findPlaced(key, news);
+      if (!task) continue;
       task.newsAtMs = nowMs;
       if (news.isRunning && task.runningSinceMs === 0) {
         task.runningSinceMs = nowMs;
@@ -202,9 +200,8 @@
   ): void {
     for (const end of ends) {
       this.pool.get(key)?.release(end.task, end.run);
-      const task = this.tasks.get(end.task);
-      if (task?.isPlaced && task.worker === key && task.run === end.run)
-        this.endRun(task, end, nowMs);
+      const task = this.findPlaced(key, end);
+      if (task) this.endRun(task, end, nowMs);
     }
     const last = ends.at(-1);
     if (last)
@@ -218,9 +215,8 @@
   recordRefusal(refusal: Refusal, nowMs: number): void {
     const {worker, reason} = refusal;
     this.pool.get(worker)?.release(refusal.task, refusal.run);
-    const task = this.tasks.get(refusal.task);
-    if (!task?.isPlaced || task.worker !== worker || task.run !== refusal.run)
-      return;
+    const task = this.findPlaced(worker, refusal);
+    if (!task) return;
     this.log({event: 'startRefused', task: task.name, worker, reason});
     const view = this.pool.get(worker);
     if (view && !task.isStopping)
@@ -291,12 +287,8 @@
   release(orders: readonly AddressedOrder[], nowMs: number): AddressedOrder[] {
     return orders.filter(({order}) => {
       if (order.type !== 'start') return true;
-      const task = this.tasks.get(order.task);
-      const isWanted =
-        task?.isPlaced &&
-        task.run === order.run &&
-        task.worker === order.worker;
-      if (!isWanted) return false;
+      const task = this.findPlaced(order.worker, order);
+      if (!task) return false;
       task.isOrdered = true;
       task.orderedAtMs = nowMs;
       return !task.isStopping;
@@ -672,11 +664,14 @@
   }
 
   private tasksOn(key: string): Set<TaskRun> {
-    const found = this.placedOn.get(key);
-    if (found) return found;
-    const made = new Set<TaskRun>();
-    this.placedOn.set(key, made);
-    return made;
+    return getOrAdd(this.placedOn, key, () => new Set<TaskRun>());
+  }
+
+  /** The task, if its newest run is this one and is placed on the worker. */
+  private findPlaced(worker: string, ref: RunRef): TaskRun | undefined {
+    const task = this.tasks.get(ref.task);
+    const isThisRun = task?.worker === worker && task.run === ref.run;
+    return isThisRun && task.isPlaced ? task : undefined;
   }
 
   private queueOf(unit: Unit): Queue {
