A seat holder that can't commit extends no leases

Cause: an agent that reached only a deposed seat holder kept renewing its leases, since that holder went on answering its reports. The successor counts the agent's silence from its takeover on, so it gave the work up and started it elsewhere while it still ran.

Ruled out: stepping down when commits stay unanswered, since in an outage of the store nobody can take over and the holder would drop its agents for nothing.

Change: an answer extends leases only while the holder's newest commit is younger than the takeover time, on the steady and on the wall clock, so the successor's count can't begin before the agent's.

--- a/src/agent/gate_links.ts
+++ b/src/agent/gate_links.ts
@@ -13,10 +13,10 @@
 const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
 /** Time for a connection to open, in ms. */
 const DIAL_TIMEOUT_MS = 800; // links between data centres take a few ms
+/** Most gates that an agent keeps a link to. */
+export const MAX_GATES = 12; // 0.6 KB a report, twice a second, on each link
 /** Wait before an address that failed is dialled again, in ms. */
 const REDIAL_MS = 300;
-/** Most gates that an agent keeps a link to. */
-const MAX_GATES = 12;
 /** Time after which an address that never answers is dropped, in ms. */
 const FORGET_AFTER_MS = 30_000;
 
@@ -41,6 +41,7 @@
   private isStopped = false;
 
   constructor(
+    private readonly maxGates: number,
     private readonly clock: Clock,
     private readonly ctx: LinkContext,
     private readonly log: PartLog,
@@ -50,7 +51,7 @@
   /** Adds addresses of gates; those that are known already stay as they are. */
   learn(addresses: readonly string[]): void {
     for (const address of addresses) {
-      if (this.dials.has(address) || this.dials.size >= MAX_GATES) continue;
+      if (this.dials.has(address) || this.dials.size >= this.maxGates) continue;
       this.dials.set(address, {
         address,
         link: undefined,
--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -1,5 +1,6 @@
 /** An agent: keeps its worker's runs alive, reports them, and carries out orders. */
 import {type Clock} from '../core/clock.js';
+import {momentOf, type Moment} from '../core/moment.js';
 import {HybridClock} from '../core/hybrid_clock.js';
 import {decodeGate} from '../jobs/run_record.js';
 import {type WorkerReport} from '../jobs/worker_pool.js';
@@ -12,7 +13,7 @@
   type GateJobMessage,
 } from '../protocol/job_messages.js';
 import {GateLinks} from './gate_links.js';
-import {LeaseKeeper, type LeaseTimes, type Moment} from './lease_keeper.js';
+import {LeaseKeeper, type LeaseTimes} from './lease_keeper.js';
 import {WorkerDriver} from './worker_driver.js';
 
 /** Time between two reports, in ms. */
@@ -28,6 +29,8 @@
   readonly lease: LeaseTimes;
   /** Silence after which a link is given up, in ms. */
   readonly linkTimeoutMs: number;
+  /** Most gates that the agent keeps a link to. */
+  readonly maxGates: number;
 }
 
 export interface JobAgentContext {
@@ -62,6 +65,7 @@
     this.lease = new LeaseKeeper(options.lease);
     this.searchedAtMs = clock.nowMs() - SEARCH_AFTER_MS;
     this.links = new GateLinks(
+      options.maxGates,
       clock,
       {
         clock,
@@ -171,8 +175,7 @@
 
   private report(address: string | undefined, lostWorker?: string): void {
     if (address === undefined) return;
-    const {clock} = this.ctx;
-    const moment = {nowMs: clock.nowMs(), wallMs: clock.wallMs()};
+    const moment = momentOf(this.ctx.clock);
     this.sentMoments.set(moment.nowMs, moment);
     const isLeader = address === this.leader;
     const inventory = this.driver?.isReachable
@@ -208,7 +211,7 @@
       this.log.event('leaderFound', {gate: address, epoch: this.epoch});
       this.report(address);
     }
-    if (sentAt) this.lease.recordContact(sentAt);
+    if (sentAt && message.extendsLeases) this.lease.recordContact(sentAt);
   }
 
   private onOrders(message: Extract<GateJobMessage, {type: 'orders'}>): void {
--- a/src/agent/lease_keeper.ts
+++ b/src/agent/lease_keeper.ts
@@ -3,6 +3,7 @@
  * agent's work to others once `isolationMs` plus the lease have passed since it last
  * answered, so no lease is extended past that.
  */
+import {type Moment, longestMsBetween} from '../core/moment.js';
 
 /** Largest error of the worker's clock. */
 const CLOCK_ERROR = 0.02; // the platform's figure
@@ -12,18 +13,14 @@
 export interface LeaseTimes {
   /** Length of a lease, in ms. */
   readonly leaseMs: number;
-  /** Time without an answer of the seat holder up to which leases are renewed, in ms. */
+  /**
+   * Time up to which leases are renewed without an answer of the seat holder, in ms. It
+   * counts from a report that was answered while the holder's newest commit was younger
+   * than the takeover time, so no successor can have begun to count before.
+   */
   readonly isolationMs: number;
 }
 
-/** The same moment on both clocks of the process. */
-export interface Moment {
-  /** Steady clock, which stands still while the instance is suspended. */
-  readonly nowMs: number;
-  /** Wall clock, which may jump. */
-  readonly wallMs: number;
-}
-
 interface WorkerClock {
   readonly clockMs: number;
   readonly seenAtMs: number;
@@ -63,12 +60,7 @@
 
   mayRenew(at: Moment): boolean {
     if (!this.contact) return false;
-    // A suspended instance's steady clock loses time, so the later of both counts.
-    const silentMs = Math.max(
-      at.nowMs - this.contact.nowMs,
-      at.wallMs - this.contact.wallMs,
-    );
-    return silentMs <= this.times.isolationMs;
+    return longestMsBetween(this.contact, at) <= this.times.isolationMs;
   }
 
   /** End of the lease to ask for, on the worker's clock; undefined while it may not be. */
--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -1,5 +1,6 @@
 /** Carries out orders on one incarnation of the worker, and follows what runs there. */
 import {type Clock} from '../core/clock.js';
+import {momentOf} from '../core/moment.js';
 import {
   type Inventory,
   type StartOrder,
@@ -16,7 +17,7 @@
   type StartReply,
   type TaskWorker,
 } from '../ports/task_worker.js';
-import {type LeaseKeeper, type Moment} from './lease_keeper.js';
+import {type LeaseKeeper} from './lease_keeper.js';
 import {RunTable} from './run_table.js';
 
 /** Longest wait of the worker for an end, in ms; leases are renewed as often. */
@@ -178,7 +179,7 @@
     const {worker, clock, lease, log, metrics} = this.ctx;
     const startMs = clock.nowMs();
     if (this.report.draining || !this.isReachable) return 'noLease';
-    const leaseUntilMs = lease.nextLeaseUntilMs(this.moment());
+    const leaseUntilMs = lease.nextLeaseUntilMs(momentOf(this.ctx.clock));
     if (leaseUntilMs === undefined) return 'noLease';
     const epoch = this.ctx.epoch();
     const {task, run, payload, checkpoint} = order;
@@ -235,7 +236,7 @@
         fencingToken: this.ctx.epoch(),
         acknowledgedUpTo: this.table.acknowledgedUpTo,
         leaseUntilMs: this.extendsLease
-          ? lease.nextLeaseUntilMs(this.moment())
+          ? lease.nextLeaseUntilMs(momentOf(this.ctx.clock))
           : undefined,
         waitMs,
       },
@@ -282,9 +283,4 @@
     if (this.table.applyLists(reply, askedAtMs) || isFirst) this.ctx.onNews();
     return true;
   }
-
-  private moment(): Moment {
-    const {clock} = this.ctx;
-    return {nowMs: clock.nowMs(), wallMs: clock.wallMs()};
-  }
 }
--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -201,6 +201,7 @@
         incarnation: this.options.incarnation,
         engineOptions,
         renewMs: this.options.times.takeoverMs / RENEWALS_PER_TAKEOVER,
+        takeoverMs: this.options.times.takeoverMs,
       },
     );
   }
@@ -297,6 +298,7 @@
       sentAtMs,
       epoch: this.holder.epoch,
       leads: this.leads,
+      extendsLeases: this.leads && this.holder.isSurelyNewest,
       gates: [...this.gates.values()].map(g => g.address),
     };
   }
--- a/src/gate/seat_holder.ts
+++ b/src/gate/seat_holder.ts
@@ -4,6 +4,7 @@
  * at most once, and none after another gate has taken over.
  */
 import {type Clock} from '../core/clock.js';
+import {type Moment, longestMsBetween, momentOf} from '../core/moment.js';
 import {type Random} from '../core/random.js';
 import {type AddressedOrder} from '../jobs/engine_messages.js';
 import {type JobBook} from '../jobs/job_book.js';
@@ -42,6 +43,8 @@
   readonly engineOptions: EngineOptions;
   /** Longest time without a commit, in ms. */
   readonly renewMs: number;
+  /** Time without a commit after which another gate may take the seat, in ms. */
+  readonly takeoverMs: number;
 }
 
 export interface SeatHolderHandlers {
@@ -53,7 +56,8 @@
   readonly epoch: number;
   version: number;
   commit: number;
-  committedAtMs: number;
+  /** When the newest commit was sent, on the steady clock and the wall clock. */
+  committedAt: Moment;
   engine: JobEngine | undefined;
 }
 
@@ -81,6 +85,14 @@
     return this.tenure?.epoch ?? this.seat.epoch;
   }
 
+  /** No other gate can have taken the seat: the newest commit is too young for that. */
+  get isSurelyNewest(): boolean {
+    const {tenure, ctx} = this;
+    if (!tenure) return false;
+    const sinceMs = longestMsBetween(tenure.committedAt, momentOf(ctx.clock));
+    return sinceMs < ctx.takeoverMs;
+  }
+
   setTables(tables: JobTables): void {
     this.tables = tables;
     this.engine?.setTables(tables);
@@ -134,7 +146,7 @@
     if (this.isCommitting) return;
     const batch = tenure.engine.takeBatch();
     const nowMs = this.ctx.clock.nowMs();
-    const isDue = nowMs - tenure.committedAtMs >= this.ctx.renewMs;
+    const isDue = nowMs - tenure.committedAt.nowMs >= this.ctx.renewMs;
     if (!batch && !isDue) return;
     const writes = batch ? batch.puts.length + batch.removes.length : 0;
     if (batch && writes === 0 && !isDue) {
@@ -178,6 +190,7 @@
     };
     const version = current?.version ?? 0;
     const empty = {puts: [], removes: [], orders: []};
+    const sentAt = momentOf(this.ctx.clock);
     const result = await this.writeSeat(row, version, empty);
     this.isTaking = false;
     const taken = committedVersion(result, row);
@@ -192,14 +205,14 @@
       epoch: row.epoch,
       version: taken,
       commit: 0,
-      committedAtMs: this.ctx.clock.nowMs(),
+      committedAt: sentAt,
       engine: undefined,
     };
   }
 
   private async commit(tenure: Tenure, batch: Batch): Promise<void> {
     this.isCommitting = true;
-    const startMs = this.ctx.clock.nowMs();
+    const start = momentOf(this.ctx.clock);
     const row: SeatRow = {
       epoch: tenure.epoch,
       holder: this.ctx.incarnation,
@@ -211,7 +224,7 @@
       if (version !== undefined) {
         tenure.version = version;
         tenure.commit = row.commit;
-        tenure.committedAtMs = startMs;
+        tenure.committedAt = start;
         break;
       }
       if (result.type === 'conflict') {
@@ -222,7 +235,7 @@
     }
     this.isCommitting = false;
     if (this.tenure !== tenure) return;
-    this.ctx.metrics.observe('commit', this.ctx.clock.nowMs() - startMs);
+    this.ctx.metrics.observe('commit', this.ctx.clock.nowMs() - start.nowMs);
     this.release(tenure, batch.orders);
     this.pump();
   }
--- a/src/protocol/job_messages.ts
+++ b/src/protocol/job_messages.ts
@@ -95,13 +95,15 @@
   lostWorker: text.optional(),
 });
 
-/** A gate's answer to a report. From the seat holder it extends the agent's leases. */
+/** A gate's answer to a report. */
 export interface GateAnswer {
   readonly type: 'answer';
   readonly sentAtMs: number;
   readonly epoch: number;
-  /** The gate holds the seat. */
+  /** The gate holds the seat, as far as it knows. */
   readonly leads: boolean;
+  /** Leases may be extended: no other gate can have taken the seat yet. */
+  readonly extendsLeases: boolean;
   /** Link addresses of all gates that are known. */
   readonly gates: readonly string[];
 }
@@ -123,6 +125,7 @@
       sentAtMs: z.number(),
       epoch: count,
       leads: z.boolean(),
+      extendsLeases: z.boolean(),
       gates: z.array(text),
     }),
     z.object({
--- a/tests/features/job_recovery.feature
+++ b/tests/features/job_recovery.feature
@@ -117,6 +117,17 @@
     And no task was started twice
     And no promise about runs is broken
 
+  Scenario: An agent is cut off with the seat holder from the store and the other gates
+    Given 2 gates and 0 agents whose tasks run 8000 ms
+    And an agent that reaches the seat holder only
+    When 1 jobs of 3 tasks are handed in
+    And 3 tasks are running
+    And an agent that reaches the other gate only joins
+    And the seat holder is cut off from the store
+    And another gate leads
+    Then each task is started a second time
+    And no promise about runs is broken
+
   Scenario: A cancelled job stops and stays cancelled over a takeover
     Given 2 gates and 2 agents whose tasks run 20000 ms
     When 3 jobs of 2 tasks are handed in
--- a/tests/steps/job_steps.ts
+++ b/tests/steps/job_steps.ts
@@ -188,6 +188,24 @@
   await leader.gate.stop();
 });
 
+Given('an agent that reaches the seat holder only', () => {
+  world().addAgent(world().leader!);
+});
+
+When('an agent that reaches the other gate only joins', () => {
+  world().addAgent(other(world().leader!));
+});
+
+Then(
+  'each task is started a second time',
+  {timeout: STEP_TIMEOUT_MS},
+  async () => {
+    await world().until('each task is started a second time', () =>
+      taskNames().every(t => world().ledger.startsOf(t) === 2),
+    );
+  },
+);
+
 When('the seat holder is cut off from the store', () => {
   firstLeader = world().leader!;
   firstLeader.store.faults.isDown = true;
