--- a/spec/check_models.ts
+++ b/spec/check_models.ts
@@ -10,6 +10,7 @@
 } from './config_model.js';
 import {type Model, explore} from './explore.js';
 import {GANG_RULES, type GangRules, makeGangModel} from './gang_model.js';
+import {RUN_RULES, type RunRules, makeRunModel} from './run_model.js';
 
 /** Result for one model, as specified or with one rule weakened. */
 export interface ModelReport {
@@ -27,6 +28,7 @@
   return [
     ...checkFamily(CLAIM_RULES, (rules: ClaimRules) => makeClaimModel(rules)),
     ...checkFamily(GANG_RULES, (rules: GangRules) => makeGangModel(rules)),
+    ...checkFamily(RUN_RULES, (rules: RunRules) => makeRunModel(rules)),
     ...checkFamily(CONFIG_RULES, (rules: ConfigRules) =>
       makeConfigModel(rules),
     ),
