--- a/tests/steps/conformance_steps.ts
+++ b/tests/steps/conformance_steps.ts
@@ -8,12 +8,28 @@
 } from '../../src/core/config_follower.js';
 import {type Route} from '../../src/core/tables.js';
 import {checkModels} from '../../spec/check_models.js';
+import {RunConformance} from '../fixtures/run_conformance.js';
 import {RequestBench, SLOW_REPLY_MS} from '../fixtures/request_bench.js';
 
 const SEED = 20261204;
 const LONG_DEADLINE_MS = 20_000;
 const SHORT_DEADLINE_MS = 400;
 const MODEL_TIMEOUT_MS = 240_000;
+/** Steps of the specification of runs in which an engine takes part. */
+const EVERY_STEP_OF_A_HOLDER = [
+  'holder n takes the seat',
+  'holder n places the task on worker n',
+  'holder n writes',
+  'holder n commits',
+  'the write of holder n is committed',
+  'the write of holder n is refused',
+  'holder n gives worker n up',
+  'holder n hears of a new worker n',
+  'holder n hears that run n ended',
+  'holder n stops run n on worker n',
+  'holder n misses the run on worker n',
+  'holder n acknowledges the end on worker n',
+];
 
 interface Step {
   readonly what:
@@ -104,6 +120,29 @@
   },
 );
 
+Then(
+  '{int} random ways through the specification of runs are followed by real engines',
+  {timeout: MODEL_TIMEOUT_MS},
+  (ways: number) => {
+    const seen = new Set<string>();
+    fc.assert(
+      fc.property(fc.array(fc.nat(), {minLength: 10, maxLength: 60}), picks => {
+        const run = new RunConformance();
+        try {
+          for (const pick of picks) if (!run.step(pick)) break;
+        } catch (err) {
+          (err as Error).message += `; ${run.trace.join('; ')}`;
+          throw err;
+        }
+        for (const label of run.trace) seen.add(label.replace(/\d+/g, 'n'));
+      }),
+      {seed: SEED, numRuns: ways},
+    );
+    for (const label of EVERY_STEP_OF_A_HOLDER)
+      assert.ok(seen.has(label), `no way took the step "${label}"`);
+  },
+);
+
 /** What was told and is not true. */
 function lies(bench: RequestBench): string[] {
   const found: string[] = [];
