No more is stopped for a wide urgent step than its objective needs

Change: the chain of work counts wide steps in waves; beyond the guarantee, runs are stopped only as far as the step needs tasks at one time to meet its objective, and for work that is late already only when it nears its late limit.

--- a/src/jobs/hand_out_order.ts
+++ b/src/jobs/hand_out_order.ts
@@ -22,14 +22,18 @@
   return work.sinceMs + objectiveMs(work);
 }
 
+/** Time by which the work must be done to be worth anything, in ms of the clock. */
+export function lateLimitAtMs(work: WaitingWork): number {
+  return work.sinceMs + LATE_LIMIT_OBJECTIVES * objectiveMs(work);
+}
+
 function objectiveMs(work: WaitingWork): number {
   return work.queue.stretch * work.chainMs + work.queue.targetMs;
 }
 
 /** Whether it would still be done before it is worth nothing. */
 export function canStillEarn(work: WaitingWork, nowMs: number): boolean {
-  const limitMs = work.sinceMs + LATE_LIMIT_OBJECTIVES * objectiveMs(work);
-  return nowMs + work.chainMs <= limitMs;
+  return nowMs + work.chainMs <= lateLimitAtMs(work);
 }
 
 /** Negative when `a` is to be placed before `b`. */
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -126,6 +126,16 @@
   );
 }
 
+/** How often a request fits into a room. */
+export function timesFits(request: Resources, room: Resources): number {
+  const times = [
+    room.cpu / request.cpu,
+    room.memoryMb / request.memoryMb,
+    room.accelerators / request.accelerators,
+  ].filter(Number.isFinite);
+  return Math.max(0, Math.floor(Math.min(...times)));
+}
+
 /** Cores that one accelerator counts as when work is weighed. */
 const CORES_PER_ACCELERATOR = 8; // the users' prices count a GPU as 8 cores
 
--- a/src/jobs/planner.ts
+++ b/src/jobs/planner.ts
@@ -2,12 +2,19 @@
  * One planning pass: which waiting work is placed where, and what is stopped to make
  * room for guaranteed work. Pure: the engine carries out what it says.
  */
-import {type JobTables, addResources, coresOf} from './job.js';
-import {compareWaiting} from './hand_out_order.js';
+import {type JobTables, type StepSpec, addResources, coresOf} from './job.js';
+import {
+  type WaitingWork,
+  compareWaiting,
+  lateLimitAtMs,
+  objectiveAtMs,
+} from './hand_out_order.js';
 import {type TaskRun, type Unit, totalRequest} from './job_run.js';
 import {type Room, fitsWhenEmpty, isAllowed, place} from './placement.js';
 import {type Victim, planReclaim} from './reclaim.js';
+import {TaskState} from './run_record.js';
 import {type RunTimes} from './run_times.js';
+import {neededAtOnce, wavesOf} from './wide_step.js';
 import {type WorkerPool, type WorkerView, agentOf} from './worker_pool.js';
 import {DOUBTED, type WorkerTrust} from './worker_trust.js';
 
@@ -41,9 +48,8 @@
   readonly untilMs: number;
 }
 
-interface Candidate {
+interface Candidate extends WaitingWork {
   readonly unit: Unit;
-  readonly isGuaranteed: boolean;
 }
 
 export class Planner {
@@ -123,6 +129,7 @@
   ): void {
     const {unit} = candidate;
     if ([...this.holds.values()].some(h => h.unit === unit)) return;
+    if (!candidate.isGuaranteed && !this.needsRoomNow(candidate, input)) return;
     if (this.waitsForRuns(unit, rooms, input)) return;
     const units = victimsFor(unit, rooms, input);
     const victims = [...units].map(([id, victim]) =>
@@ -143,6 +150,24 @@
       this.holds.set(worker, {unit, untilMs});
   }
 
+  /** Whether the work misses its objective unless room is made for it now. */
+  private needsRoomNow(candidate: Candidate, input: PlanInput): boolean {
+    const {unit} = candidate;
+    const runMs = expectedRunMs(unit, input);
+    const isInTime = input.nowMs + runMs <= objectiveAtMs(candidate);
+    if (!isInTime) return input.nowMs + 2 * runMs > lateLimitAtMs(candidate);
+    if (unit.isGang) return true;
+    const {step} = unit;
+    const leftMs =
+      objectiveAtMs(candidate) - input.nowMs - chainAfterMs(unit, input);
+    const tasksLeft = step.tasks.filter(t => !isDone(t)).length;
+    const placed = step.tasks.filter(t => t.isPlaced && !t.isStopping).length;
+    const held = new Set(
+      [...this.holds.values()].map(h => h.unit).filter(u => u.step === step),
+    );
+    return placed + held.size < neededAtOnce({tasksLeft, runMs, leftMs});
+  }
+
   /** Whether a unit would fit elsewhere now, away from one agent's worker. */
   hasRoomElsewhere(unit: Unit, agent: string, input: PlanInput): boolean {
     const rooms = this.roomsFor(unit, input).filter(
@@ -292,16 +317,40 @@
   return input.times.expectedMs(unit.job.spec.queue, unit.step.spec.estimateMs);
 }
 
+/** Longest chain of work in the job, wide steps in waves, in ms. */
 function expectedChainMs(unit: Unit, input: PlanInput): number {
-  const {steps, queue} = unit.job.spec;
+  const {steps} = unit.job.spec;
   const ends: number[] = [];
   for (const step of steps) {
     const startMs = Math.max(0, ...step.after.map(i => ends[i]));
-    ends.push(startMs + input.times.expectedMs(queue, step.estimateMs));
+    ends.push(startMs + expectedStepMs(unit, step, input));
   }
   return Math.max(0, ...ends);
 }
 
+/** Longest chain of work that follows the unit's step, in ms. */
+function chainAfterMs(unit: Unit, input: PlanInput): number {
+  const {steps} = unit.job.spec;
+  const after = steps.map(() => 0);
+  for (let i = steps.length - 1; i >= 0; i--) {
+    const wholeMs = after[i] + expectedStepMs(unit, steps[i], input);
+    for (const before of steps[i].after)
+      after[before] = Math.max(after[before], wholeMs);
+  }
+  return after[unit.step.number];
+}
+
+function expectedStepMs(unit: Unit, step: StepSpec, input: PlanInput): number {
+  const runMs = input.times.expectedMs(unit.job.spec.queue, step.estimateMs);
+  if (step.gang) return runMs;
+  const {service} = unit.job.queueIn(input.tables.queues);
+  return runMs * wavesOf(step.count, input.pool.roomFor(service, step.request));
+}
+
+function isDone(task: TaskRun): boolean {
+  return task.state === TaskState.DONE;
+}
+
 /** Time that a placed task has run, in ms. */
 export function ranMs(task: TaskRun, nowMs: number): number {
   return task.runningSinceMs === 0 ? 0 : nowMs - task.runningSinceMs;
--- a/src/jobs/worker_pool.ts
+++ b/src/jobs/worker_pool.ts
@@ -1,5 +1,11 @@
 /** The workers that the seat holder knows, with the room that is left on each. */
-import {type Resources, addResources, fits, subtractResources} from './job.js';
+import {
+  type Resources,
+  addResources,
+  fits,
+  subtractResources,
+  timesFits,
+} from './job.js';
 
 /** What a worker says of itself. */
 export interface WorkerReport {
@@ -103,6 +109,14 @@
     return [...this.workers.values()].filter(w => w.agent === agent);
   }
 
+  /** Tasks of a size that the workers of a service hold when nothing else runs. */
+  roomFor(service: string, request: Resources): number {
+    return this.ofService(service).reduce(
+      (sum, w) => sum + timesFits(request, w.report.capacity),
+      0,
+    );
+  }
+
   ofService(service: string): WorkerView[] {
     return [...this.workers.values()].filter(w => w.report.service === service);
   }
--- a/tests/features/job_decisions.feature
+++ b/tests/features/job_decisions.feature
@@ -70,3 +70,27 @@
     And it is not taken in an outage of the store of 6000 ms, nor at once after it
     And it is taken 2000 ms after the last commit
     And a seat that was given up is taken at once
+
+  Scenario: A wide urgent step stops no more than its objective needs
+    Given 12 workers that are full of batch work for 20000 ms
+    When an urgent job of 18 tasks of 8 accelerators and 4000 ms comes beyond the guarantee
+    Then it is done within 1.5 times 6 waves of 4000 ms
+    And at most 5 workers were cleared for it
+
+  Scenario: Guaranteed work begins within its bound though the workers are full
+    Given 12 workers that are full of batch work for 20000 ms
+    When 3 urgent jobs of 2 tasks of 8 accelerators and 4000 ms come within the guarantee
+    Then each has begun after at most 2700 ms
+    And at most 6 workers were cleared for it
+
+  Scenario: An urgent job that needs its room at once gets it by stops
+    Given 12 workers that are full of batch work for 20000 ms
+    When an urgent job of 2 tasks of 8 accelerators and 4000 ms comes beyond the guarantee
+    Then it is done within 1.5 times 1 waves of 4000 ms
+    And at most 2 workers were cleared for it
+
+  Scenario: Mixed work never goes over the capacity of a worker
+    Given 12 workers
+    When 300 jobs of mixed sizes come within 60000 ms
+    Then no worker was over its capacity
+    And all of the jobs are done in the end
