A waiting gang gets the guarantee that a repaired layout gives its workspace

Cause of the scenarios that were red now and then ('A member of a gang is lost', 'An agent is paused past the leases of its tasks'): workers that come one by one get small guarantees bound first; the repair a second later binds the large ones, but did not count as a change of the capacity, so a job that had found no place before was not tried again. The status of a red run shows it: 1 job queued, 48 of 48 accelerators free, its own guarantee bound, for 30 s.

Ruled out: reports or leases lost beside load (nothing had been placed), and a refusal (the caller waited).

Test: 'A waiting job gets the guarantee that a new layout gives its workspace', red without the change.

--- a/src/planning/guarantee_planner.ts
+++ b/src/planning/guarantee_planner.ts
@@ -236,6 +236,8 @@
     this.lastRepairMs = this.nowMs;
     this.drains.releaseAll();
     this.layout.rebuild(this.jobs.values(), true);
+    // Work that found no place before may find one in the new layout.
+    this.capacityVersion++;
   }
 
   // Jobs.
@@ -262,6 +264,8 @@
     this.countUse(job, 1);
     this.drains.releaseAll();
     this.layout.rebuild(this.jobs.values(), true);
+    // Work that found no place before may find one in the new layout.
+    this.capacityVersion++;
   }
 
   private onCancel(id: string, reason: string): void {
--- a/tests/features/planning.feature
+++ b/tests/features/planning.feature
@@ -42,6 +42,12 @@
     And 2 minutes pass
     Then the job of "bo" runs
 
+  Scenario: A waiting job gets the guarantee that a new layout gives its workspace
+    Given workers come one by one to a pool that promises more than it has
+    And "ana" submits a job of 2 whole workers before the layout is repaired
+    When 2 minutes pass
+    Then the job of "ana" runs in the guarantee
+
   Scenario: Nothing is borrowed that its owner takes back in the same round
     Given a pool of 1 workers with a guarantee of 8 for "ana"
     When "ana" submits a job of 8 accelerators
--- a/tests/steps/planning_steps.ts
+++ b/tests/steps/planning_steps.ts
@@ -178,6 +178,41 @@
   },
 );
 
+Given(
+  'workers come one by one to a pool that promises more than it has',
+  () => {
+    const whole = {accelerators: 8, level: ShapeLevel.WORKER, count: 1};
+    const rack = {accelerators: 16, level: ShapeLevel.RACK, count: 1};
+    const workspaces = [
+      {name: 'ana', guarantee: [rack]},
+      {name: 'bo', guarantee: [whole, whole]},
+    ];
+    bench = new PlanBench(0, {name: 'pool', selector: {}, workspaces});
+    // Smaller guarantees are bound first, one in each rack.
+    for (const id of ['w0', 'w2', 'w1']) {
+      const rackName = id === 'w2' ? 'r1' : 'r0';
+      bench.do({
+        type: 'workerUp',
+        site: {id, rack: rackName, accelerators: 8},
+      });
+    }
+  },
+);
+
+Given(
+  '{string} submits a job of 2 whole workers before the layout is repaired',
+  (workspace: string) => {
+    const shape = [{accelerators: 16, level: ShapeLevel.RACK, count: 1}];
+    special = bench.submit(workspace, 16, {shape});
+    assert.ok(!bench.placed.has(special));
+  },
+);
+
+Then('the job of {string} runs in the guarantee', (workspace: string) => {
+  assert.ok(special.startsWith(`${workspace}-`));
+  assert.deepEqual(bench.placed.get(special), ['w0', 'w1']);
+});
+
 When('only one worker of each rack is left', () => {
   for (const worker of ['w0', 'w2', 'w4']) {
     bench.do({type: 'workerDown', worker});
