--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -11,6 +11,7 @@
 import {
   type AgentReport,
   type GateJobMessage,
+  type LostWorker,
 } from '../protocol/job_messages.js';
 import {GateLinks} from './gate_links.js';
 import {LeaseKeeper, type LeaseTimes} from './lease_keeper.js';
@@ -103,7 +104,7 @@
     const {driver} = this;
     if (driver?.id !== workerId) return;
     this.log.event('workerLeft', {worker: driver.key});
-    this.giveUpDriver(driver);
+    this.giveUpDriver(driver, 'the worker left');
   }
 
   /** Ends without touching what runs: a successor finds it on the worker. */
@@ -137,13 +138,13 @@
   private onOtherIncarnation(driver: WorkerDriver): void {
     if (this.driver !== driver) return;
     this.log.event('workerReplaced', {worker: driver.key});
-    this.giveUpDriver(driver);
+    this.giveUpDriver(driver, 'another incarnation answered');
   }
 
-  private giveUpDriver(driver: WorkerDriver): void {
+  private giveUpDriver(driver: WorkerDriver, reason: string): void {
     driver.close();
     this.driver = undefined;
-    this.report(this.leader, driver.key);
+    this.report(this.leader, {worker: driver.key, reason});
   }
 
   private tick(): void {
@@ -154,7 +155,8 @@
     else this.searchedAtMs = nowMs;
     if (this.driver?.takeLapse()) {
       this.log.event('leasesLapsed', {worker: this.driver.key});
-      this.report(this.leader, this.driver.key);
+      const reason = 'all leases ran out';
+      this.report(this.leader, {worker: this.driver.key, reason});
     }
   }
 
@@ -173,7 +175,7 @@
     });
   }
 
-  private report(address: string | undefined, lostWorker?: string): void {
+  private report(address: string | undefined, lost?: LostWorker): void {
     if (address === undefined) return;
     const moment = momentOf(this.ctx.clock);
     this.sentMoments.set(moment.nowMs, moment);
@@ -188,7 +190,7 @@
       epoch: this.epoch,
       inventory,
       refusals: isLeader ? (this.driver?.takeRefusals() ?? []) : [],
-      lostWorker,
+      lost,
     };
     this.links.send(address, report);
   }
--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -291,8 +291,8 @@
       engine.recordContact(agent, nowMs);
       for (const refusal of report.refusals)
         engine.recordRefusal(refusal, nowMs);
-      if (report.lostWorker)
-        engine.loseWorker(report.lostWorker, 'all leases ran out', nowMs);
+      if (report.lost)
+        engine.loseWorker(report.lost.worker, report.lost.reason, nowMs);
       if (inventory) engine.recordInventory(agent, inventory, nowMs);
       else engine.recordUnreachable(agent, nowMs);
       engine.plan(nowMs);
--- a/src/protocol/job_messages.ts
+++ b/src/protocol/job_messages.ts
@@ -70,6 +70,12 @@
   z.object({type: z.literal('acknowledge'), worker: text, upTo: count}),
 ]);
 
+export interface LostWorker {
+  readonly worker: string;
+  /** Why nothing can run there, in words for the log. */
+  readonly reason: string;
+}
+
 /** An agent's heartbeat, with all that it knows of its worker. */
 export interface AgentReport {
   readonly type: 'report';
@@ -81,8 +87,8 @@
   /** Absent while the agent does not know its worker. */
   readonly inventory?: Inventory;
   readonly refusals: readonly Refusal[];
-  /** Worker on which every lease has run out without an answer. */
-  readonly lostWorker?: string;
+  /** A worker on which nothing can run any more. */
+  readonly lost?: LostWorker;
 }
 
 const reportSchema: z.ZodType<AgentReport> = z.object({
@@ -92,7 +98,7 @@
   epoch: count,
   inventory: inventorySchema.optional(),
   refusals: z.array(refusalSchema),
-  lostWorker: text.optional(),
+  lost: z.object({worker: text, reason: text}).optional(),
 });
 
 /** A gate's answer to a report. */
