--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -123,8 +123,7 @@
 
   addJob(spec: JobSpec, nowMs: number, wallMs: number): void {
     if (this.jobs.has(spec.id)) return;
-    const ageMs = Math.max(0, wallMs - spec.acceptedWallMs);
-    const job = new JobRun(spec, nowMs - ageMs);
+    const job = makeJob(spec, nowMs, wallMs);
     this.jobs.set(spec.id, job);
     this.openDueOccurrences(job, nowMs, wallMs);
   }
@@ -160,12 +159,7 @@
     for (const run of runs) {
       if (this.findPlaced(key, run)) continue;
       this.log({event: 'strayRun', task: run.task, run: run.run, worker: key});
-      this.order(agent, {
-        type: 'stop',
-        worker: key,
-        task: run.task,
-        run: run.run,
-      });
+      this.order(agent, stopOrder(key, run));
     }
   }
 
@@ -328,8 +322,7 @@
   ): void {
     const {spec} = entry;
     if (!spec) return this.removeLeftovers(id, entry);
-    const ageMs = Math.max(0, wallMs - spec.acceptedWallMs);
-    const job = new JobRun(spec, nowMs - ageMs);
+    const job = makeJob(spec, nowMs, wallMs);
     this.jobs.set(id, job);
     job.isEnded = entry.fate !== undefined || entry.isCancelled;
     job.endedAtMs = nowMs;
@@ -427,23 +420,22 @@
     bornMs: number,
     nowMs: number,
   ): boolean {
-    const keys = new Set([
-      ...this.pool.workers.keys(),
-      ...this.placedOn.keys(),
-    ]);
-    const others = [...keys].filter(k => k !== key && agentOf(k) === agent);
+    const others = [...this.knownWorkers()].filter(
+      k => k !== key && agentOf(k) === agent,
+    );
     if (others.some(k => bornOf(k) > bornMs)) return false;
     for (const other of others)
       this.loseWorker(other, 'another incarnation is there', nowMs);
     return true;
   }
 
+  /** Workers that were heard of, and those on which runs are recorded. */
+  private knownWorkers(): Set<string> {
+    return new Set([...this.pool.workers.keys(), ...this.placedOn.keys()]);
+  }
+
   private loseSilentWorkers(nowMs: number): void {
-    const keys = new Set([
-      ...this.pool.workers.keys(),
-      ...this.placedOn.keys(),
-    ]);
-    for (const key of keys) {
+    for (const key of this.knownWorkers()) {
       const contactMs = this.contactMs.get(agentOf(key)) ?? nowMs;
       if (nowMs - contactMs > this.options.silenceBoundMs)
         this.loseWorker(key, 'no contact within the bound', nowMs);
@@ -457,7 +449,7 @@
     const worker = this.pool.get(task.worker);
     if (!unit || task.isStopping || worker?.report.draining) {
       task.isStopping = true;
-      this.order(agent, stopOrder(task));
+      this.order(agent, stopOrder(task.worker, task.ref));
       return;
     }
     this.log({event: 'orderRepeated', task: task.name, run: task.run});
@@ -545,7 +537,7 @@
     for (const task of unit.tasks) {
       if (!task.isPlaced || task.isStopping) continue;
       task.isStopping = true;
-      this.order(agentOf(task.worker), stopOrder(task));
+      this.order(agentOf(task.worker), stopOrder(task.worker, task.ref));
     }
   }
 
@@ -701,6 +693,12 @@
   }
 }
 
+/** A job as it is now; the clocks of two processes may differ a little. */
+function makeJob(spec: JobSpec, nowMs: number, wallMs: number): JobRun {
+  const ageMs = Math.max(0, wallMs - spec.acceptedWallMs);
+  return new JobRun(spec, nowMs - ageMs);
+}
+
 function stepsOf(job: JobRun): StepRun[] {
   return [...job.occurrences.values()].flatMap(o => o.steps);
 }
@@ -721,11 +719,6 @@
   };
 }
 
-function stopOrder(task: TaskRun): Order {
-  return {
-    type: 'stop',
-    worker: task.worker,
-    task: task.name,
-    run: task.run,
-  };
+function stopOrder(worker: string, {task, run}: RunRef): Order {
+  return {type: 'stop', worker, task, run};
 }
--- a/src/jobs/job_run.ts
+++ b/src/jobs/job_run.ts
@@ -14,6 +14,7 @@
   type TaskRecord,
   WAITING_TASK,
 } from './run_record.js';
+import {type RunRef} from '../ports/task_worker.js';
 
 /** One task: its record, and what is known of its newest run for now. */
 export class TaskRun {
@@ -62,6 +63,11 @@
     return this.state === TaskState.PLACED;
   }
 
+  /** The newest run. */
+  get ref(): RunRef {
+    return {task: this.name, run: this.run};
+  }
+
   get record(): TaskRecord {
     const {state, run, worker, checkpoint, failures} = this;
     return {state, run, worker, checkpoint, failures};
--- a/src/jobs/planner.ts
+++ b/src/jobs/planner.ts
@@ -2,6 +2,7 @@
  * One planning pass: which waiting work is placed where, and what is stopped to make
  * room for guaranteed work. Pure: the engine carries out what it says.
  */
+import {getOrAdd} from '../core/fair_queue.js';
 import {type JobTables, type StepSpec, addResources, coresOf} from './job.js';
 import {
   type WaitingWork,
@@ -9,7 +10,7 @@
   lateLimitAtMs,
   objectiveAtMs,
 } from './hand_out_order.js';
-import {type TaskRun, type Unit, totalRequest} from './job_run.js';
+import {type JobRun, type TaskRun, type Unit, totalRequest} from './job_run.js';
 import {type Room, fitsWhenEmpty, isAllowed, place} from './placement.js';
 import {type Victim, planReclaim} from './reclaim.js';
 import {TaskState} from './run_record.js';
@@ -27,6 +28,9 @@
 /** Time for which room made by stops is kept for the work that it was made for, in ms. */
 const HOLD_MS = 2000; // a stop takes up to 400 ms, and its end has to be recorded
 
+/** Run times left before its late limit at which late work needs room at once. */
+const LATE_RUNS_LEFT = 2; // the run itself, and one more that may end before it
+
 export interface PlanInput {
   readonly nowMs: number;
   readonly tables: JobTables;
@@ -75,12 +79,15 @@
 
   private inOrder(input: PlanInput): Candidate[] {
     const guaranteed = guaranteedUnits(input);
+    const chains = new Map<JobRun, number>();
     const candidates = [...input.waiting].map(unit => ({
       unit,
       isGuaranteed: guaranteed.has(unit),
       queue: unit.job.queueIn(input.tables.queues),
       sinceMs: unit.step.occurrence.dueAtMs,
-      chainMs: expectedChainMs(unit, input),
+      chainMs: getOrAdd(chains, unit.job, () =>
+        expectedChainMs(unit.job, input),
+      ),
     }));
     return candidates.sort(
       (a, b) =>
@@ -155,7 +162,8 @@
     const {unit} = candidate;
     const runMs = expectedRunMs(unit, input);
     const isInTime = input.nowMs + runMs <= objectiveAtMs(candidate);
-    if (!isInTime) return input.nowMs + 2 * runMs > lateLimitAtMs(candidate);
+    if (!isInTime)
+      return input.nowMs + LATE_RUNS_LEFT * runMs > lateLimitAtMs(candidate);
     if (unit.isGang) return true;
     const {step} = unit;
     const leftMs =
@@ -318,12 +326,12 @@
 }
 
 /** Longest chain of work in the job, wide steps in waves, in ms. */
-function expectedChainMs(unit: Unit, input: PlanInput): number {
-  const {steps} = unit.job.spec;
+function expectedChainMs(job: JobRun, input: PlanInput): number {
+  const {steps} = job.spec;
   const ends: number[] = [];
   for (const step of steps) {
     const startMs = Math.max(0, ...step.after.map(i => ends[i]));
-    ends.push(startMs + expectedStepMs(unit, step, input));
+    ends.push(startMs + expectedStepMs(job, step, input));
   }
   return Math.max(0, ...ends);
 }
@@ -333,17 +341,17 @@
   const {steps} = unit.job.spec;
   const after = steps.map(() => 0);
   for (let i = steps.length - 1; i >= 0; i--) {
-    const wholeMs = after[i] + expectedStepMs(unit, steps[i], input);
+    const wholeMs = after[i] + expectedStepMs(unit.job, steps[i], input);
     for (const before of steps[i].after)
       after[before] = Math.max(after[before], wholeMs);
   }
   return after[unit.step.number];
 }
 
-function expectedStepMs(unit: Unit, step: StepSpec, input: PlanInput): number {
-  const runMs = input.times.expectedMs(unit.job.spec.queue, step.estimateMs);
+function expectedStepMs(job: JobRun, step: StepSpec, input: PlanInput): number {
+  const runMs = input.times.expectedMs(job.spec.queue, step.estimateMs);
   if (step.gang) return runMs;
-  const {service} = unit.job.queueIn(input.tables.queues);
+  const {service} = job.queueIn(input.tables.queues);
   return runMs * wavesOf(step.count, input.pool.roomFor(service, step.request));
 }
 
--- a/src/jobs/seat_machine.ts
+++ b/src/jobs/seat_machine.ts
@@ -71,4 +71,4 @@
 }
 
 /** Age of a reading at which the store counts as silent, in ms. */
-const STALE_READING_MS = 1500; // a reading waits 700 ms, and answers come 0.4 s late at times
+const STALE_READING_MS = 1500; // a reading waits 500 ms, and answers come 0.4 s late at times
