--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -23,7 +23,7 @@
   type TaskRun,
   type Unit,
 } from './job_run.js';
-import {type PlanInput, Planner, ranMs} from './planner.js';
+import {type PlanInput, Planner, type WaitReason, ranMs} from './planner.js';
 import {RunTimes} from './run_times.js';
 import {standsStill} from './standstill.js';
 import {
@@ -125,6 +125,7 @@
     if (this.jobs.has(spec.id)) return;
     const job = makeJob(spec, nowMs, wallMs);
     this.jobs.set(spec.id, job);
+    this.log({event: 'jobKnown', job: spec.id, reason: shapeOf(spec)});
     this.openDueOccurrences(job, nowMs, wallMs);
   }
 
@@ -249,6 +250,7 @@
     this.planner.plan(this.planInput(nowMs), {
       place: (unit, workers) => this.placeUnit(unit, workers, nowMs),
       preempt: (victim, claimant) => this.preempt(victim, claimant, nowMs),
+      wait: (unit, reason) => this.recordWait(unit, reason, nowMs),
     });
   }
 
@@ -496,6 +498,17 @@
     this.stopUnit(victim);
   }
 
+  private recordWait(unit: Unit, reason: WaitReason, nowMs: number): void {
+    if (unit.waitReason === reason) return;
+    unit.waitReason = reason;
+    this.log({
+      event: 'waits',
+      task: unit.tasks[0].name,
+      reason,
+      ms: Math.round(nowMs - unit.readyAtMs),
+    });
+  }
+
   private planInput(nowMs: number): PlanInput {
     return {
       nowMs,
@@ -699,6 +712,19 @@
   return new JobRun(spec, nowMs - ageMs);
 }
 
+/** Shape of a job for the log: a step is COUNTxACCELERATORS@ESTIMATE. */
+function shapeOf({steps}: JobSpec): string {
+  return steps
+    .map(({count, request, estimateMs, gang, sameRack, checkpointing}) => {
+      const kind =
+        (gang ? ' gang' : '') +
+        (sameRack ? ' one rack' : '') +
+        (checkpointing ? ' checkpoints' : '');
+      return `${count}x${request.accelerators}@${estimateMs} ms${kind}`;
+    })
+    .join(', ');
+}
+
 function stepsOf(job: JobRun): StepRun[] {
   return [...job.occurrences.values()].flatMap(o => o.steps);
 }
--- a/src/jobs/job_run.ts
+++ b/src/jobs/job_run.ts
@@ -88,6 +88,8 @@
 export class Unit {
   /** Not placed before this time, in ms of the clock. */
   notBeforeMs = 0;
+  /** Why it was last left waiting though it is urgent, for the log. */
+  waitReason = '';
   /** Agents on which a run of it failed, the newest last. */
   readonly failedOn: string[] = [];
   /** Newest run that counted as failed; a gang fails once a run. */
--- a/src/jobs/planner.ts
+++ b/src/jobs/planner.ts
@@ -45,8 +45,20 @@
 export interface PlanOutput {
   place(unit: Unit, workers: readonly string[]): void;
   preempt(victim: Unit, claimant: Unit): void;
+  /** Urgent work for which there is no room keeps waiting. */
+  wait(unit: Unit, reason: WaitReason): void;
 }
 
+/** Why nothing is stopped for urgent work that has no room. */
+export const WaitReason = {
+  ROOM_IS_BEING_MADE: 'room is being made',
+  OBJECTIVE_ALLOWS: 'the objective leaves time',
+  RUNS_END_SOON: 'runs that end soon make room',
+  NO_ROOM_TO_MAKE: 'stops would not make enough room',
+  TOO_COSTLY: 'stops would throw away more than the work',
+} as const;
+export type WaitReason = (typeof WaitReason)[keyof typeof WaitReason];
+
 interface Hold {
   readonly unit: Unit;
   readonly untilMs: number;
@@ -72,8 +84,10 @@
       const count = unit.tasks.length;
       const workers = place(spec, count, rooms, {mayLeaveRack});
       if (workers) output.place(unit, workers);
-      else if (unit.job.queueIn(input.tables.queues).priority === 0)
-        this.makeRoom(candidate, rooms, input, output);
+      else if (unit.job.queueIn(input.tables.queues).priority === 0) {
+        const reason = this.makeRoom(candidate, rooms, input, output);
+        output.wait(unit, reason);
+      }
     }
   }
 
@@ -133,11 +147,13 @@
     rooms: readonly Room[],
     input: PlanInput,
     output: PlanOutput,
-  ): void {
+  ): WaitReason {
     const {unit} = candidate;
-    if ([...this.holds.values()].some(h => h.unit === unit)) return;
-    if (!candidate.isGuaranteed && !this.needsRoomNow(candidate, input)) return;
-    if (this.waitsForRuns(unit, rooms, input)) return;
+    if ([...this.holds.values()].some(h => h.unit === unit))
+      return WaitReason.ROOM_IS_BEING_MADE;
+    if (!candidate.isGuaranteed && !this.needsRoomNow(candidate, input))
+      return WaitReason.OBJECTIVE_ALLOWS;
+    if (this.waitsForRuns(unit, rooms, input)) return WaitReason.RUNS_END_SOON;
     const units = victimsFor(unit, rooms, input);
     const victims = [...units].map(([id, victim]) =>
       victimOf(id, victim, input.nowMs),
@@ -147,14 +163,15 @@
     const plan =
       planReclaim(spec, count, rooms, victims, {mayLeaveRack: false}) ??
       planReclaim(spec, count, rooms, victims, {mayLeaveRack: true});
-    if (!plan) return;
+    if (!plan) return WaitReason.NO_ROOM_TO_MAKE;
     if (!candidate.isGuaranteed && !isWorthIt(unit, plan.costCoreMs, input))
-      return;
+      return WaitReason.TOO_COSTLY;
     for (const victim of plan.victims)
       output.preempt(units.get(victim.id)!, unit);
     const untilMs = input.nowMs + HOLD_MS;
     for (const worker of plan.placement)
       this.holds.set(worker, {unit, untilMs});
+    return WaitReason.ROOM_IS_BEING_MADE;
   }
 
   /** Whether the work misses its objective unless room is made for it now. */
