--- a/harness/deployment.ts
+++ b/harness/deployment.ts
@@ -2,7 +2,7 @@
 import {readFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {parse} from 'jsonc-parser';
-import {z} from 'zod';
+import * as z from 'zod';
 import {checkText, requireValid} from '../src/protocol/check.js';
 import {tablesSchema} from '../src/protocol/tables.js';
 
--- a/src/daemons/agent_daemon.ts
+++ b/src/daemons/agent_daemon.ts
@@ -1,7 +1,7 @@
 /** The agent: one small process beside each backend server. */
 import {type AddressInfo} from 'node:net';
 import {fastify, type FastifyInstance} from 'fastify';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type Kernel} from '../core/kernel.js';
 import {BackendState} from '../core/vocabulary.js';
 import {checkValue, requireValid} from '../protocol/check.js';
--- a/src/jobs/run_record.ts
+++ b/src/jobs/run_record.ts
@@ -1,6 +1,6 @@
 /** Rows of jobs: what is kept of each, and how it is encoded. */
 import {Packr} from 'msgpackr';
-import {z} from 'zod';
+import * as z from 'zod';
 import {ProtocolError} from '../core/errors.js';
 import {pickByRendezvous} from '../core/rendezvous.js';
 import {type JobSpec} from './job.js';
--- a/src/plugins/http_table_service.ts
+++ b/src/plugins/http_table_service.ts
@@ -1,6 +1,6 @@
 /** Table service over HTTP, with group commit and resolution of lost answers. */
 import {Pool} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {Clock} from '../core/clock.js';
 import {TableServiceError} from '../core/errors.js';
 import {type Kernel, type Plugin} from '../core/kernel.js';
--- a/src/plugins/http_worker.ts
+++ b/src/plugins/http_worker.ts
@@ -1,6 +1,6 @@
 /** Worker's task interface over HTTP on loopback. */
 import {Pool} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type Kernel, type Plugin} from '../core/kernel.js';
 import {
   type TaskReport,
--- a/src/protocol/check.ts
+++ b/src/protocol/check.ts
@@ -7,7 +7,7 @@
   printParseErrorCode,
   type ParseError,
 } from 'jsonc-parser';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type Fault, InvalidDocumentError, formatFault} from '../core/errors.js';
 import {
   type Pool,
--- a/src/protocol/codec.ts
+++ b/src/protocol/codec.ts
@@ -1,6 +1,6 @@
 /** Encodes messages with msgpackr and checks them when they arrive. */
 import {Packr} from 'msgpackr';
-import {z} from 'zod';
+import * as z from 'zod';
 import {ProtocolError} from '../core/errors.js';
 import {
   type AgentMessage,
--- a/src/protocol/job_messages.ts
+++ b/src/protocol/job_messages.ts
@@ -1,5 +1,5 @@
 /** Messages between gates and agents about jobs. All durations are milliseconds. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   type Inventory,
   type Order,
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -3,7 +3,7 @@
  * the protocol. Every message is checked against its schema when it arrives.
  * All durations are milliseconds; deadlines travel as time that remains.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   BackendState,
   RefusalReason,
--- a/src/protocol/rows.ts
+++ b/src/protocol/rows.ts
@@ -1,5 +1,5 @@
 /** Schemas of the rows that the system keeps in the table service. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {memberSchema, placeSchema, processRefSchema} from './messages.js';
 import {cellRequestSchema, poolSchema, routeSchema} from './tables.js';
 
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -1,5 +1,5 @@
 /** Schema of the settings file of a gate or an agent. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const name = z
   .string()
--- a/src/protocol/tables.ts
+++ b/src/protocol/tables.ts
@@ -1,5 +1,5 @@
 /** Schemas of the two tables that operators edit. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {JobClass} from '../core/outcome.js';
 import {ShapeLevel} from '../core/tables.js';
 
