--- a/src/core/request_executor.ts
+++ b/src/core/request_executor.ts
@@ -5,6 +5,7 @@
  */
 import {parseRequestId} from './ids.js';
 import {type Answer} from './outcome.js';
+import {SlotRefill} from './slot_refill.js';
 import {TimerHeap} from './timer_heap.js';
 import {
   type Announcement,
@@ -121,12 +122,14 @@
   private readonly queue: RunRecord[] = [];
   private readonly deadlines = new TimerHeap<string>();
   private readonly expiries = new TimerHeap<string>();
+  private readonly refill = new SlotRefill();
   private announcement: Announcement = {
     service: '',
     slots: 0,
     state: BackendState.ABSENT,
   };
   private announcedAtMs = 0;
+  /** Slots that run a request, or that a cancellation freed just now. */
   private busy = 0;
   private answerBytes = 0;
   private draining = false;
@@ -265,7 +268,8 @@
   private onEnded(input: Extract<ExecutorInput, {type: 'ended'}>): void {
     const record = this.records.get(input.run);
     if (record?.state !== RecordState.STARTED) return;
-    this.busy--;
+    if (input.end === RunEnd.CANCELLED) this.refill.hold(this.nowMs);
+    else this.busy--;
     this.effects.push({type: 'dropBody', run: record.run});
     if (input.end === 'unreachable')
       this.sealRecord(record, RefusalReason.UNREACHABLE);
@@ -407,6 +411,8 @@
   // Time.
 
   private onTick(): void {
+    this.busy -= this.refill.release(this.nowMs);
+    this.startNext();
     const silentMs = this.nowMs - this.announcedAtMs;
     const present = this.announcement.state !== BackendState.ABSENT;
     if (
--- /dev/null
+++ b/tests/steps/cancel_steps.ts
@@ -0,0 +1,104 @@
+/** Steps about cancellations at the requests' executor. */
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {makeRequestId} from '../../src/core/ids.js';
+import {
+  type ExecutorEffect,
+  type ExecutorInput,
+  RequestExecutor,
+} from '../../src/core/request_executor.js';
+import {
+  BackendState,
+  RefusalReason,
+  RunEnd,
+} from '../../src/core/vocabulary.js';
+
+const GATE = 'g0';
+const SERVICE = 'desk';
+const TICK_MS = 10;
+
+let executor: RequestExecutor;
+let nowMs = 0;
+let runs: string[] = [];
+let started: string[] = [];
+let refused: string[] = [];
+
+/** Hands an input in; a call that is broken off ends at once. */
+function feed(input: ExecutorInput): void {
+  for (const effect of executor.handle(input, nowMs, nowMs)) record(effect);
+}
+
+function record(effect: ExecutorEffect): void {
+  if (effect.type === 'call') started.push(effect.run);
+  if (effect.type === 'refused' && effect.reason === RefusalReason.CANCELLED)
+    refused.push(effect.run);
+  if (effect.type === 'abort')
+    feed({type: 'ended', run: effect.run, end: RunEnd.CANCELLED});
+}
+
+function cancel(run: string): void {
+  feed({type: 'cancel', gate: GATE, run, attempt: 1});
+}
+
+function pass(ms: number): void {
+  for (const endMs = nowMs + ms; nowMs < endMs;) {
+    nowMs += TICK_MS;
+    feed({type: 'tick'});
+  }
+}
+
+Given(
+  'a backend server of {int} slots with {int} requests',
+  (slots: number, count: number) => {
+    nowMs = 0;
+    started = [];
+    refused = [];
+    executor = new RequestExecutor({
+      announcementMs: 10_000,
+      maxRecords: 100,
+      maxAnswerBytes: 1000,
+    });
+    const state = BackendState.SERVING;
+    feed({type: 'announce', announcement: {service: SERVICE, slots, state}});
+    runs = Array.from({length: count}, (unused, i) =>
+      makeRequestId({acceptedWallMs: 0, gate: GATE, unique: `${i}`}),
+    );
+    for (const run of runs)
+      feed({
+        type: 'dispatch',
+        gate: GATE,
+        run,
+        attempt: 1,
+        service: SERVICE,
+        remainingMs: 10_000,
+      });
+  },
+);
+
+When(
+  'all {int} are cancelled within {int} ms, those that run first',
+  (count: number, ms: number) => {
+    for (const run of runs) {
+      cancel(run);
+      pass(ms / count);
+    }
+  },
+);
+
+When('1 of those that run is cancelled', () => cancel(runs[0]));
+
+Then('{int} of them have started', (count: number) => {
+  assert.equal(started.length, count);
+});
+
+Then('{int} of them are refused as cancelled', (count: number) => {
+  assert.equal(refused.length, count);
+});
+
+Then(
+  '{int} of them have started {int} ms later',
+  (count: number, ms: number) => {
+    pass(ms);
+    assert.equal(started.length, count);
+  },
+);
