--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -48,6 +48,11 @@
   private readonly log: PartLog;
   private readonly sentMoments = new Map<number, Moment>();
   private driver: WorkerDriver | undefined;
+  /**
+   * The worker that was lost last. It is told in each report until a worker can be
+   * reached, since the seat holder that hears of it first may not live to record it.
+   */
+  private lost: LostWorker | undefined;
   private epoch = 0;
   /** Link of the seat holder. */
   private leader: string | undefined;
@@ -144,7 +149,12 @@
   private giveUpDriver(driver: WorkerDriver, reason: string): void {
     driver.close();
     this.driver = undefined;
-    this.report(this.leader, {worker: driver.key, reason});
+    this.lose({worker: driver.key, reason});
+  }
+
+  private lose(lost: LostWorker): void {
+    this.lost = lost;
+    this.report(this.leader);
   }
 
   private tick(): void {
@@ -155,8 +165,7 @@
     else this.searchedAtMs = nowMs;
     if (this.driver?.takeLapse()) {
       this.log.event('leasesLapsed', {worker: this.driver.key});
-      const reason = 'all leases ran out';
-      this.report(this.leader, {worker: this.driver.key, reason});
+      this.lose({worker: this.driver.key, reason: 'all leases ran out'});
     }
   }
 
@@ -175,7 +184,7 @@
     });
   }
 
-  private report(address: string | undefined, lost?: LostWorker): void {
+  private report(address: string | undefined): void {
     if (address === undefined) return;
     const moment = momentOf(this.ctx.clock);
     this.sentMoments.set(moment.nowMs, moment);
@@ -183,6 +192,7 @@
     const inventory = this.driver?.isReachable
       ? this.driver.inventory()
       : undefined;
+    if (inventory) this.lost = undefined;
     const report: AgentReport = {
       type: 'report',
       agent: this.options.name,
@@ -190,7 +200,7 @@
       epoch: this.epoch,
       inventory,
       refusals: isLeader ? (this.driver?.takeRefusals() ?? []) : [],
-      lost,
+      lost: this.lost,
     };
     this.links.send(address, report);
   }
--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -222,8 +222,9 @@
     if (task.unit) task.unit.notBeforeMs = nowMs + REFUSED_WAIT_MS;
   }
 
-  /** The worker ended, or nothing on it can live any more. */
+  /** The worker ended, or nothing on it can live any more; agents tell it again and again. */
   loseWorker(key: string, reason: string, nowMs: number): void {
+    if (!this.knownWorkers().has(key)) return;
     const tasks = [...(this.placedOn.get(key) ?? [])];
     this.log({event: 'workerLost', worker: key, reason});
     this.pool.remove(key);
--- a/tests/features/job_recovery.feature
+++ b/tests/features/job_recovery.feature
@@ -77,6 +77,16 @@
     Then all jobs are completed
     And no promise about runs is broken
 
+  Scenario: All leases of a worker run out while no gate holds the seat
+    Given another gate takes the seat only after 4000 ms
+    And 2 gates and 3 agents whose tasks run 4000 ms
+    When 6 jobs of 2 tasks are handed in
+    And 12 tasks are running
+    And a worker gives no answer
+    And the seat holder dies
+    Then all jobs are completed
+    And no promise about runs is broken
+
   Scenario: Starts get no answer and are carried out late
     Given 2 gates and 2 agents whose tasks run 300 ms
     And the next 2 starts of each worker are carried out 1500 ms late
