--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -224,7 +224,7 @@
 
   /** The worker ended, or nothing on it can live any more; agents tell it again and again. */
   loseWorker(key: string, reason: string, nowMs: number): void {
-    if (!this.knownWorkers().has(key)) return;
+    if (!this.pool.get(key) && !this.placedOn.has(key)) return;
     const tasks = [...(this.placedOn.get(key) ?? [])];
     this.log({event: 'workerLost', worker: key, reason});
     this.pool.remove(key);
