Measure planning passes, event loop delay and discarded work by cause

Three causes are suspected (planning that outgrows the processor, runs that preempt one another, and a fault of its own behind lost answers), and neither logs nor metrics could distinguish them. Each planning pass now reports its duration and size, each process how late its event loop ran and how much processor time it used, and each run that did not complete the work lost with it, by cause. No decision changes.

--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -5,6 +5,7 @@
 import {decodeGateRow} from '../jobs/job_rows.js';
 import {type WorkerReport} from '../jobs/worker_pool.js';
 import {type EventLog, type ComponentLog} from '../plugins/event_log.js';
+import {LoopDelayMonitor} from '../plugins/loop_delay_monitor.js';
 import {type Metrics} from '../plugins/metrics.js';
 import {type StateStore} from '../ports/state_store.js';
 import {type TaskWorker} from '../ports/task_worker.js';
@@ -46,6 +47,7 @@
   private readonly links: GateLinks;
   private readonly lease: LeaseRenewer;
   private readonly log: ComponentLog;
+  private readonly loopDelay: LoopDelayMonitor;
   /** Clock readings at the sending of recent reports, by `sentAtMs`. */
   private readonly reportSendTimes = new Map<number, ClockReading>();
   private driver: WorkerDriver | undefined;
@@ -69,6 +71,11 @@
   ) {
     const {clock, logs} = ctx;
     this.log = logs.forComponent('agent');
+    this.loopDelay = new LoopDelayMonitor(TICK_INTERVAL_MS, {
+      clock,
+      metrics: ctx.metrics,
+      log: this.log,
+    });
     this.lease = new LeaseRenewer(options.lease);
     this.searchedAtMs = clock.nowMs() - GATE_SEARCH_DELAY_MS;
     this.links = new GateLinks(
@@ -159,6 +166,7 @@
   }
 
   private tick(): void {
+    this.loopDelay.recordTick();
     this.links.tick();
     const nowMs = this.ctx.clock.nowMs();
     if (nowMs - this.reportedAtMs >= REPORT_INTERVAL_MS)
--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -16,6 +16,7 @@
 } from '../jobs/job_rows.js';
 import {LeaderElection} from '../jobs/leader_election.js';
 import {type EventLog, type ComponentLog} from '../plugins/event_log.js';
+import {LoopDelayMonitor} from '../plugins/loop_delay_monitor.js';
 import {type Metrics} from '../plugins/metrics.js';
 import {sleep} from '../plugins/sleep.js';
 import {type StateStore, type StoredRow} from '../ports/state_store.js';
@@ -79,6 +80,7 @@
   >();
   private readonly log: ComponentLog;
   private ticker: NodeJS.Timeout | undefined;
+  private readonly loopDelay: LoopDelayMonitor;
   private addressesCheckedAtMs = -Infinity;
   private linkAddress = '';
   private isStopping = false;
@@ -90,6 +92,11 @@
   ) {
     const {store, clock, random, metrics} = ctx;
     this.log = ctx.logs.forComponent('gate');
+    this.loopDelay = new LoopDelayMonitor(LEADER_TICK_MS, {
+      clock,
+      metrics,
+      log: this.log,
+    });
     this.election = new LeaderElection(
       {
         takeoverMs: options.times.takeoverMs,
@@ -185,6 +192,8 @@
           metrics.recordDuration('placing', fields.ms ?? 0);
         engineLog.logEvent(event, fields);
       },
+      onDiscarded: (cause, lostCoreMs) =>
+        metrics.increment(`discarded_core_ms_${cause}`, lostCoreMs),
     };
     return new LeaderRole(
       store,
@@ -210,6 +219,7 @@
   }
 
   private tick(): void {
+    this.loopDelay.recordTick();
     this.agents.closeTimedOutLinks();
     if (this.follower.syncedVersion < 0) return;
     if (this.tables) this.leaderRole.tick(this.follower.freshAsOfMs);
@@ -280,8 +290,7 @@
         engine.cancelJob(kind.job, nowMs);
     } else if (kind.kind === 'cancel') engine.cancelJob(kind.job, nowMs);
     else return;
-    engine.plan(nowMs);
-    this.leaderRole.flushEngine();
+    this.leaderRole.planAndFlush();
   }
 
   private onReport(report: AgentReport): GateAnswer {
@@ -301,8 +310,7 @@
         engine.markWorkerLost(report.lost.worker, report.lost.reason, nowMs);
       if (inventory) engine.recordInventory(agent, inventory, nowMs);
       else engine.recordUnreachable(agent, nowMs);
-      engine.plan(nowMs);
-      this.leaderRole.flushEngine();
+      this.leaderRole.planAndFlush();
     }
     return this.createAnswer(report.sentAtMs);
   }
--- a/src/gate/leader_role.ts
+++ b/src/gate/leader_role.ts
@@ -21,6 +21,7 @@
   encodeLeaderRow,
   rowKeys,
 } from '../jobs/job_rows.js';
+import {type PassSize} from '../jobs/planner.js';
 import {type LeaderElection} from '../jobs/leader_election.js';
 import {type ComponentLog} from '../plugins/event_log.js';
 import {type Metrics} from '../plugins/metrics.js';
@@ -35,6 +36,8 @@
 const COMMIT_TIMEOUT_MS = 5000;
 const COMMIT_RETRY_DELAY_MS = 60;
 const TAKEOVER_TIMEOUT_MS = 3000;
+/** Duration from which a planning pass is logged, in ms. */
+const SLOW_PASS_MS = 100; // two engine ticks
 /** Interval between engine ticks, in ms. */
 const TICK_INTERVAL_MS = 50;
 
@@ -138,7 +141,7 @@
     const nowMs = this.ctx.clock.nowMs();
     const {engine} = this;
     if (engine) {
-      engine.tick(nowMs, this.ctx.clock.wallMs());
+      this.recordPass(nowMs, engine.tick(nowMs, this.ctx.clock.wallMs()));
       void this.removeExpiredJob(engine);
       this.flushEngine();
     } else if (
@@ -151,6 +154,27 @@
     }
   }
 
+  /** Plans after a change, then sends the ready orders and commits the rows. */
+  planAndFlush(): void {
+    const {engine} = this;
+    if (!engine) return;
+    const nowMs = this.ctx.clock.nowMs();
+    this.recordPass(nowMs, engine.plan(nowMs));
+    this.flushEngine();
+  }
+
+  /** Records the duration and the size of a planning pass that started at `startMs`. */
+  private recordPass(startMs: number, size: PassSize): void {
+    const {metrics, log, clock} = this.ctx;
+    if (size.waitingUnits === 0) return;
+    const ms = clock.nowMs() - startMs;
+    metrics.recordDuration('planning_pass', ms);
+    metrics.increment('planning_worker_checks', size.workerChecks);
+    metrics.increment('planning_victims', size.victims);
+    if (ms >= SLOW_PASS_MS)
+      log.logEvent('slowPass', {ms: Math.round(ms), ...size});
+  }
+
   /** Sends the engine's ready orders and commits its rows. */
   flushEngine(): void {
     const {term} = this;
--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -18,13 +18,21 @@
 import {type JobIndex, type JobEntry} from './job_index.js';
 import {type JobSpec, type JobTables, type Queue} from './job.js';
 import {
+  DiscardCause,
   TrackedJob,
   TrackedOccurrence,
   type TrackedStep,
   type TrackedTask,
   type Unit,
 } from './tracked_job.js';
-import {type PlanInput, Planner, type WaitReason, ranMs} from './planner.js';
+import {
+  EMPTY_PASS,
+  type PassSize,
+  type PlanInput,
+  Planner,
+  type WaitReason,
+  ranMs,
+} from './planner.js';
 import {RunTimeEstimates} from './run_time_estimates.js';
 import {isStalled} from './run_progress.js';
 import {
@@ -68,6 +76,8 @@
   readonly worker?: string;
   readonly reason?: string;
   readonly ms?: number;
+  /** Work that is lost and has to be done again, in core-ms. */
+  readonly lostCoreMs?: number;
 }
 
 export interface EngineOptions {
@@ -79,6 +89,8 @@
   /** Time for which an ended job is kept and can be queried, in ms. */
   readonly endedJobRetentionMs: number;
   readonly onEvent: (event: EngineEvent) => void;
+  /** Called with the work lost by each run that did not complete, in core-ms. */
+  readonly onDiscarded?: (cause: string, lostCoreMs: number) => void;
 }
 
 export interface Batch {
@@ -239,14 +251,20 @@
     this.log({event: 'workerLost', worker: key, reason});
     this.pool.remove(key);
     for (const task of tasks) {
-      this.log({event: 'runLost', task: task.name, run: task.run, reason});
+      this.log({
+        event: 'runLost',
+        task: task.name,
+        run: task.run,
+        reason,
+        lostCoreMs: this.recordDiscarded(task, DiscardCause.WORKER_LOST, nowMs),
+      });
       this.endPlacement(task, nowMs);
     }
     this.placedByWorker.delete(key);
   }
 
   /** Opens due occurrences, drops unresponsive workers and places waiting units. */
-  tick(nowMs: number, wallMs: number): void {
+  tick(nowMs: number, wallMs: number): PassSize {
     for (const job of this.jobs.values()) {
       if (job.isEnded) this.expireIfOld(job, nowMs);
       else if (job.spec.schedule) this.openDueOccurrences(job, nowMs, wallMs);
@@ -254,12 +272,13 @@
     this.markUnresponsiveWorkersLost(nowMs);
     if (nowMs - this.stallCheckedAtMs >= STALL_CHECK_INTERVAL_MS)
       this.moveStalledRuns(nowMs);
-    this.plan(nowMs);
+    return this.plan(nowMs);
   }
 
-  plan(nowMs: number): void {
-    if (this.waiting.size === 0) return;
-    this.planner.plan(this.planInput(nowMs), {
+  /** Places waiting units; returns the size of the pass. */
+  plan(nowMs: number): PassSize {
+    if (this.waiting.size === 0) return EMPTY_PASS;
+    return this.planner.plan(this.planInput(nowMs), {
       place: (unit, workers) => this.placeUnit(unit, workers, nowMs),
       preempt: (victim, beneficiary) =>
         this.preempt(victim, beneficiary, nowMs),
@@ -382,7 +401,8 @@
     this.waiting.delete(unit);
     this.placed.add(unit);
     const isIncompleteGang = unit.isGang && unit.tasks.some(t => !t.isPlaced);
-    if (isIncompleteGang || unit.job.isEnded) this.stopUnit(unit);
+    if (unit.job.isEnded) this.stopUnit(unit, DiscardCause.JOB_ENDED);
+    else if (isIncompleteGang) this.stopUnit(unit, DiscardCause.GANG_BROKEN);
   }
 
   private openDueOccurrences(
@@ -545,7 +565,7 @@
       reason: `frees capacity for ${beneficiary.tasks[0].name}`,
       ms: Math.round(ranMs(victim.tasks[0], nowMs)),
     });
-    this.stopUnit(victim);
+    this.stopUnit(victim, DiscardCause.PREEMPTED);
   }
 
   private recordWait(unit: Unit, reason: WaitReason, nowMs: number): void {
@@ -592,19 +612,21 @@
         reason: `stalled at ${stalled.percent} %`,
         ms: Math.round(ranMs(stalled, nowMs)),
       });
-      this.stopUnit(unit);
+      this.stopUnit(unit, DiscardCause.STALLED);
     }
   }
 
-  private stopUnit(unit: Unit): void {
+  private stopUnit(unit: Unit, cause: DiscardCause): void {
     for (const task of unit.tasks) {
       if (!task.isPlaced || task.isStopping) continue;
       task.isStopping = true;
+      task.stopCause = cause;
       this.order(agentOf(task.worker), stopOrder(task.worker, task.ref));
     }
   }
 
   private recordRunEnd(task: TrackedTask, end: EndReport, nowMs: number): void {
+    const isDone = end.kind === RunEndKind.DONE;
     this.log({
       event: 'runEnded',
       task: task.name,
@@ -612,14 +634,28 @@
       worker: task.worker,
       reason: end.kind,
       ms: Math.round(ranMs(task, nowMs)),
+      lostCoreMs: isDone
+        ? undefined
+        : this.recordDiscarded(task, task.stopCause ?? end.kind, nowMs),
     });
     if (end.checkpoint) this.recordCheckpoint(task, end.checkpoint);
-    if (end.kind === RunEndKind.DONE) this.finishTask(task, nowMs);
+    if (isDone) this.finishTask(task, nowMs);
     else if (end.kind === RunEndKind.FAILED)
       this.recordRunFailure(task, end.run, nowMs);
     else this.endPlacement(task, nowMs);
   }
 
+  /** Reports work that was lost with a run; returns the amount in core-ms. */
+  private recordDiscarded(
+    task: TrackedTask,
+    cause: string,
+    nowMs: number,
+  ): number {
+    const lostCoreMs = Math.round(task.stopCostCoreMs(nowMs));
+    this.options.onDiscarded?.(cause, lostCoreMs);
+    return lostCoreMs;
+  }
+
   private finishTask(task: TrackedTask, nowMs: number): void {
     const unit = task.unit!;
     const {queue} = unit.job.spec;
@@ -676,7 +712,7 @@
     task.clearPlacement();
     this.markDirty(task);
     if (unit.isPlaced) {
-      this.stopUnit(unit);
+      this.stopUnit(unit, DiscardCause.GANG_BROKEN);
       return;
     }
     this.placed.delete(unit);
@@ -704,7 +740,7 @@
     for (const step of stepsOf(job)) {
       for (const unit of step.units) {
         this.waiting.delete(unit);
-        if (unit.isPlaced) this.stopUnit(unit);
+        if (unit.isPlaced) this.stopUnit(unit, DiscardCause.JOB_ENDED);
       }
     }
   }
--- a/src/jobs/placement.ts
+++ b/src/jobs/placement.ts
@@ -20,6 +20,14 @@
 export interface PlacementRules {
   /** Whether tasks may run off their preferred or common rack, which makes them slower. */
   readonly allowOtherRacks: boolean;
+  /** Receives the work done by the search. */
+  readonly effort?: SearchEffort;
+}
+
+/** Counts the work of placement searches, which grows with the load. */
+export interface SearchEffort {
+  /** Number of times that the capacity of a worker was examined. */
+  workerChecks: number;
 }
 
 /** Worker key for each task, in order; undefined if the tasks don't all fit. */
@@ -34,7 +42,7 @@
 ): Placement {
   const allowed = candidates.filter(r => hasRequiredLabel(step, r));
   for (const group of candidateGroups(step, count, allowed, rules)) {
-    const placement = placeInGroup(step, count, group);
+    const placement = placeInGroup(step, count, group, rules.effort);
     if (placement) return placement;
   }
   return undefined;
@@ -86,6 +94,7 @@
   step: StepSpec,
   count: number,
   candidates: readonly CandidateWorker[],
+  effort?: SearchEffort,
 ): Placement {
   const trials = candidates.map(r => ({
     candidate: r,
@@ -95,6 +104,7 @@
   const chosen: string[] = [];
   for (let i = 0; i < count; i++) {
     let best: (typeof trials)[number] | undefined;
+    if (effort) effort.workerChecks += trials.length;
     for (const trial of trials) {
       if (!fits(step.request, trial.free)) continue;
       if (step.maxPerWorker && trial.stepTasks >= step.maxPerWorker) continue;
--- a/src/jobs/planner.ts
+++ b/src/jobs/planner.ts
@@ -23,6 +23,7 @@
 } from './tracked_job.js';
 import {
   type CandidateWorker,
+  type SearchEffort,
   fitsWhenEmpty,
   hasRequiredLabel,
   place,
@@ -64,6 +65,24 @@
   wait(unit: Unit, reason: WaitReason): void;
 }
 
+/** Size of one planning pass, which determines the processor time that it takes. */
+export interface PassSize {
+  readonly waitingUnits: number;
+  readonly workers: number;
+  /** Number of times that the capacity of a worker was examined. */
+  readonly workerChecks: number;
+  /** Number of placed units that were considered for preemption. */
+  readonly victims: number;
+}
+
+/** Size of a pass without waiting work. */
+export const EMPTY_PASS: PassSize = {
+  waitingUnits: 0,
+  workers: 0,
+  workerChecks: 0,
+  victims: 0,
+};
+
 /** Why urgent work waits, for the log. */
 export const WaitReason = {
   PREEMPTION_IN_PROGRESS: 'capacity is being freed for it',
@@ -86,8 +105,23 @@
 export class Planner {
   /** Workers held for a unit for which capacity is being freed, by worker key. */
   private readonly holds = new Map<string, Hold>();
+  private readonly effort: SearchEffort = {workerChecks: 0};
+  private victimsConsidered = 0;
 
-  plan(input: PlanInput, output: PlanOutput): void {
+  plan(input: PlanInput, output: PlanOutput): PassSize {
+    this.effort.workerChecks = 0;
+    this.victimsConsidered = 0;
+    const waitingUnits = input.waiting.size;
+    this.placeWaiting(input, output);
+    return {
+      waitingUnits,
+      workers: input.pool.workers.size,
+      workerChecks: this.effort.workerChecks,
+      victims: this.victimsConsidered,
+    };
+  }
+
+  private placeWaiting(input: PlanInput, output: PlanOutput): void {
     this.releaseHolds(input);
     for (const waitingUnit of this.rankWaiting(input)) {
       const {unit} = waitingUnit;
@@ -99,6 +133,7 @@
       const count = unit.tasks.length;
       const workers = place(spec, count, candidates, {
         allowOtherRacks,
+        effort: this.effort,
       });
       if (workers) output.place(unit, workers);
       else if (unit.job.currentQueue(input.tables.queues).priority === 0) {
@@ -158,7 +193,7 @@
       free: input.pool.get(candidate.worker)!.report.capacity,
       stepTasks: 0,
     }));
-    const rules = {allowOtherRacks: false};
+    const rules = {allowOtherRacks: false, effort: this.effort};
     return !fitsWhenEmpty(spec, unit.tasks.length, empty, rules);
   }
 
@@ -179,13 +214,19 @@
     const victims = [...units].map(([id, victim]) =>
       toVictim(id, victim, input.nowMs),
     );
+    this.victimsConsidered += victims.length;
     const {spec} = unit.step;
     const count = unit.tasks.length;
+    const {effort} = this;
     const plan =
       planPreemption(spec, count, candidates, victims, {
         allowOtherRacks: false,
+        effort,
       }) ??
-      planPreemption(spec, count, candidates, victims, {allowOtherRacks: true});
+      planPreemption(spec, count, candidates, victims, {
+        allowOtherRacks: true,
+        effort,
+      });
     if (!plan) return WaitReason.TOO_FEW_VICTIMS;
     if (
       !waitingUnit.isGuaranteed &&
@@ -232,8 +273,10 @@
     );
     const {spec} = unit.step;
     return (
-      place(spec, unit.tasks.length, candidates, {allowOtherRacks: true}) !==
-      undefined
+      place(spec, unit.tasks.length, candidates, {
+        allowOtherRacks: true,
+        effort: this.effort,
+      }) !== undefined
     );
   }
 
@@ -249,7 +292,7 @@
     const leftMs = waitMs - (input.nowMs - unit.readyAtMs);
     if (leftMs <= 0) return false;
     const candidatesSoon = candidatesAfter(candidates, leftMs, input);
-    const rules = {allowOtherRacks: false};
+    const rules = {allowOtherRacks: false, effort: this.effort};
     const placement = place(spec, unit.tasks.length, candidatesSoon, rules);
     if (!placement) return false;
     const untilMs = input.nowMs + leftMs;
--- a/src/jobs/preemption_plan.ts
+++ b/src/jobs/preemption_plan.ts
@@ -7,6 +7,7 @@
   type Placement,
   type PlacementRules,
   type CandidateWorker,
+  type SearchEffort,
   place,
 } from './placement.js';
 
@@ -47,7 +48,7 @@
     placement = place(
       step,
       count,
-      candidatesWithout(candidates, chosen),
+      candidatesWithout(candidates, chosen, rules.effort),
       rules,
     );
     if (placement) break;
@@ -58,7 +59,7 @@
     const placementWithout = place(
       step,
       count,
-      candidatesWithout(candidates, fewer),
+      candidatesWithout(candidates, fewer, rules.effort),
       rules,
     );
     if (!placementWithout) continue;
@@ -72,7 +73,9 @@
 function candidatesWithout(
   candidates: readonly CandidateWorker[],
   victims: readonly Victim[],
+  effort?: SearchEffort,
 ): CandidateWorker[] {
+  if (effort) effort.workerChecks += candidates.length * victims.length;
   return candidates.map(candidate => ({
     ...candidate,
     free: victims
--- a/src/jobs/tracked_job.ts
+++ b/src/jobs/tracked_job.ts
@@ -16,6 +16,16 @@
 } from './job_rows.js';
 import {type RunRef} from '../ports/task_worker.js';
 
+/** Why work of a run that did not complete was lost, besides how the run ended. */
+export const DiscardCause = {
+  PREEMPTED: 'preempted',
+  STALLED: 'stalled',
+  GANG_BROKEN: 'gangBroken',
+  JOB_ENDED: 'jobEnded',
+  WORKER_LOST: 'workerLost',
+} as const;
+export type DiscardCause = (typeof DiscardCause)[keyof typeof DiscardCause];
+
 /** One task: its stored record, and the volatile state of its newest run. */
 export class TrackedTask {
   state: TaskState;
@@ -35,6 +45,8 @@
   progressAtMs = 0;
   /** Whether a stop of the newest run was ordered. */
   isStopping = false;
+  /** Why it is being stopped. */
+  stopCause: DiscardCause | undefined;
   /** Whether the start of the newest run was ordered, so that it may be running. */
   isOrdered = false;
   /** When an order for the newest run was last sent, in ms of the monotonic clock. */
@@ -81,8 +93,20 @@
     this.runningSinceMs = 0;
     this.percent = 0;
     this.isStopping = false;
+    this.stopCause = undefined;
     this.isOrdered = false;
   }
+
+  /** Work that a stop would lose, in core-ms. */
+  stopCostCoreMs(nowMs: number): number {
+    if (!this.isPlaced || this.runningSinceMs === 0) return 0;
+    const {checkpointing, request} = this.step.spec;
+    // A stop writes a checkpoint, so only the time to restore it is lost.
+    const lostMs = checkpointing
+      ? CHECKPOINT_RESTORE_MS
+      : nowMs - this.runningSinceMs;
+    return lostMs * coreEquivalents(request);
+  }
 }
 
 /** Tasks that are placed together: a gang, or a single task. */
@@ -129,17 +153,7 @@
 
   /** Work that a stop would lose, in core-ms. */
   stopCostCoreMs(nowMs: number): number {
-    const {spec} = this.step;
-    let costCoreMs = 0;
-    for (const task of this.tasks) {
-      if (!task.isPlaced || task.runningSinceMs === 0) continue;
-      // A stop writes a checkpoint, so only the time to restore it is lost.
-      const lostMs = spec.checkpointing
-        ? CHECKPOINT_RESTORE_MS
-        : nowMs - task.runningSinceMs;
-      costCoreMs += lostMs * coreEquivalents(spec.request);
-    }
-    return costCoreMs;
+    return this.tasks.reduce((sum, t) => sum + t.stopCostCoreMs(nowMs), 0);
   }
 }
 
