--- a/harness/load_simulation.ts
+++ b/harness/load_simulation.ts
@@ -1,6 +1,7 @@
 /**
  * Simulates the job engine under load on a virtual clock, with workers of different
- * speeds. Records waiting times and the work discarded by stops. Injects no failures.
+ * speeds. Records waiting times, the work discarded by stops and how long the leader is
+ * busy between two commits. Injects no failures.
  */
 import {
   type AddressedOrder,
@@ -18,6 +19,7 @@
   subtractResources,
 } from '../src/jobs/job.js';
 import {type EngineEvent, JobEngine} from '../src/jobs/job_engine.js';
+import {type PassSize} from '../src/jobs/planner.js';
 import {type WorkerReport, workerKey} from '../src/jobs/worker_pool.js';
 import {RunEndKind, type EndedRun} from '../src/ports/task_worker.js';
 
@@ -56,6 +58,7 @@
 class SimulatedWorker {
   readonly runs = new Map<string, Run>();
   unacknowledgedEnds: EndedRun[] = [];
+  nextReportAtMs = REPORT_INTERVAL_MS;
   private nextEndNumber = 1;
   freeResources: Resources;
   /** Work done per ms, relative to a worker of speed 1. */
@@ -98,6 +101,11 @@
   readonly workers: number;
   readonly racks: number;
   readonly capacity: Resources;
+  /**
+   * Number of worker checks that the leader's processor makes in one ms. By default,
+   * planning takes no time.
+   */
+  readonly workerChecksPerMs?: number;
 }
 
 interface Job {
@@ -113,6 +121,10 @@
   /** Work discarded by stops, in core-ms; an accelerator counts as several cores. */
   discardedCoreMs = 0;
   stopCount = 0;
+  /** Longest time between two commits of the leader, in ms. */
+  longestCommitGapMs = 0;
+  private committedAtMs = 0;
+  private advancedAtMs = 0;
   /** Descriptions of violated invariants. */
   readonly violations: string[] = [];
   readonly events: EngineEvent[] = [];
@@ -172,7 +184,7 @@
       doneAtMs: undefined,
     });
     this.engine.addJob(spec, this.nowMs, this.nowMs);
-    this.engine.plan(this.nowMs);
+    this.chargePass(this.engine.plan(this.nowMs));
     this.commitBatch();
     return id;
   }
@@ -182,19 +194,23 @@
   }
 
   advance(ms: number): void {
-    for (
-      let remainingMs = ms;
-      remainingMs > 0;
-      remainingMs -= TICK_INTERVAL_MS
-    ) {
+    const untilMs = this.nowMs + ms;
+    while (this.nowMs < untilMs) {
       this.nowMs += TICK_INTERVAL_MS;
+      const elapsedMs = this.nowMs - this.advancedAtMs;
+      this.advancedAtMs = this.nowMs;
       this.deliverOrders();
-      for (const worker of this.workers) this.advanceRuns(worker);
-      this.engine.tick(this.nowMs, this.nowMs);
+      for (const worker of this.workers) this.advanceRuns(worker, elapsedMs);
+      this.chargePass(this.engine.tick(this.nowMs, this.nowMs));
       this.commitBatch();
     }
   }
 
+  /** Advances the clock by the processor time of a planning pass. */
+  private chargePass({workerChecks}: PassSize): void {
+    this.nowMs += workerChecks / (this.options.workerChecksPerMs ?? Infinity);
+  }
+
   private makeWorker(index: number): SimulatedWorker {
     const rack = `r${index % this.options.racks}`;
     return new SimulatedWorker(`a${index}`, {
@@ -210,6 +226,9 @@
   }
 
   private commitBatch(): void {
+    const gapMs = this.nowMs - this.committedAtMs;
+    this.longestCommitGapMs = Math.max(this.longestCommitGapMs, gapMs);
+    this.committedAtMs = this.nowMs;
     const batch = this.engine.takeBatch();
     const orders = [
       ...this.engine.takeOrders(),
@@ -266,14 +285,14 @@
       timestamps.startedAtMs ??= this.nowMs;
   }
 
-  private advanceRuns(worker: SimulatedWorker): void {
+  private advanceRuns(worker: SimulatedWorker, elapsedMs: number): void {
     for (const run of [...worker.runs.values()]) {
       if (this.nowMs >= run.stopsAtMs) this.completeStop(worker, run);
-      else if ((run.remainingMs -= TICK_INTERVAL_MS * worker.speed) <= 0)
+      else if ((run.remainingMs -= elapsedMs * worker.speed) <= 0)
         worker.endRun(run, RunEndKind.DONE);
     }
     const isDue =
-      this.nowMs % REPORT_INTERVAL_MS === 0 ||
+      this.nowMs >= worker.nextReportAtMs ||
       worker.unacknowledgedEnds.length > 0;
     if (isDue) this.reportInventory(worker);
     this.recordDoneJobs(worker);
@@ -301,7 +320,9 @@
     const {report, unacknowledgedEnds: ends} = worker;
     const inventory = {worker: report, runs, ends};
     this.engine.recordInventory(worker.agent, inventory, this.nowMs);
-    this.engine.plan(this.nowMs);
+    while (worker.nextReportAtMs <= this.nowMs)
+      worker.nextReportAtMs += REPORT_INTERVAL_MS;
+    this.chargePass(this.engine.plan(this.nowMs));
   }
 
   private runStatusOf(worker: SimulatedWorker, run: Run): RunStatus {
--- a/tests/features/job_decisions.feature
+++ b/tests/features/job_decisions.feature
@@ -94,3 +94,9 @@
     When 300 jobs of mixed sizes come within 60000 ms
     Then no worker was over its capacity
     And all of the jobs are done in the end
+
+  # Guards against an overload in which planning takes so long that the leader loses its lead.
+  Scenario: A leader keeps its lead while much work waits for full workers
+    Given a leader that checks 2000 workers per ms, and 68 workers full of small batch runs
+    When 15 batch jobs of 30 tasks and 60 urgent jobs of 5 tasks of 8 accelerators wait for 10000 ms
+    Then the leader commits at least every 2000 ms
--- a/tests/steps/load_steps.ts
+++ b/tests/steps/load_steps.ts
@@ -23,11 +23,18 @@
 /** Virtual time in which all jobs must be done. */
 const COMPLETION_TIME_MS = 600_000;
 
+/** Widest range of the ages of runs on full workers, in ms. */
+const AGE_SPREAD_MS = 4000;
+
 let simulation: LoadSimulation;
 let ids: string[] = [];
 
-function createSimulation(workers: number): LoadSimulation {
+function createSimulation(
+  workers: number,
+  workerChecksPerMs?: number,
+): LoadSimulation {
   return new LoadSimulation({
+    workerChecksPerMs,
     queues: [URGENT, BATCH],
     guarantees: {kiln: GUARANTEED_ACCELERATORS},
     workers,
@@ -69,6 +76,36 @@
   },
 );
 
+Given(
+  'a leader that checks {int} workers per ms, and {int} workers full of small batch runs',
+  (workerChecksPerMs: number, workers: number) => {
+    simulation = createSimulation(workers, workerChecksPerMs);
+    const random = new Random(SEED);
+    for (let i = 0; i < workers; i++) {
+      submit('batch', 'shed', ACCELERATORS, 1, 60_000 + random.nextInt(60_000));
+      simulation.advance(Math.round(AGE_SPREAD_MS / workers / 50) * 50);
+    }
+  },
+);
+
+When(
+  '{int} batch jobs of {int} tasks and {int} urgent jobs of {int} tasks of {int} accelerators wait for {int} ms',
+  (
+    batchJobs: number,
+    batchTasks: number,
+    urgentJobs: number,
+    urgentTasks: number,
+    accelerators: number,
+    ms: number,
+  ) => {
+    for (let i = 0; i < batchJobs; i++)
+      submit('batch', 'shed', batchTasks, 1, 10_000);
+    for (let i = 0; i < urgentJobs; i++)
+      submit('urgent', 'barn', urgentTasks, accelerators, 4000);
+    simulation.advance(ms);
+  },
+);
+
 When(
   /^(an|\d+) urgent jobs? of (\d+) tasks of (\d+) accelerators and (\d+) ms comes? (within|beyond) the guarantee$/,
   (
@@ -135,6 +172,11 @@
   }
 });
 
+Then('the leader commits at least every {int} ms', (limitMs: number) => {
+  const gapMs = Math.round(simulation.longestCommitGapMs);
+  assert.ok(gapMs <= limitMs, `the leader was busy for ${gapMs} ms`);
+});
+
 Then('no worker was over its capacity', () => {
   assert.deepEqual(simulation.violations, []);
 });
