Bound the cost of planning, so that an overloaded leader keeps its lead

Cause: a metastable overload. The leader planned after each report of an agent, each job and each tick, at least 150 times a second. A pass searched all workers for each waiting task, also for the tasks of one step, of which none fits if one does not, and a preemption plan repeated the whole search for each added and each removed victim. While it plans, the leader neither commits nor answers agents: it loses its lead, its successor starts with the same queue and more, and leases run out.

Ruled out: the store (its calls were answered within ms) and the number of waiting jobs alone (passes with 15 units took 236 ms, with 3 units 826 ms).

Change: changes share a pass, and passes take at most a quarter of the time. The plans are the same as before: compared with a search for each set of victims over 500 random loads.

'A step that does not fit ...' and 'Planning leaves ...' are new.

--- a/harness/load_simulation.ts
+++ b/harness/load_simulation.ts
@@ -20,6 +20,7 @@
 } from '../src/jobs/job.js';
 import {type EngineEvent, JobEngine} from '../src/jobs/job_engine.js';
 import {type PassSize} from '../src/jobs/planner.js';
+import {PlanningSchedule} from '../src/jobs/planning_schedule.js';
 import {type WorkerReport, workerKey} from '../src/jobs/worker_pool.js';
 import {RunEndKind, type EndedRun} from '../src/ports/task_worker.js';
 
@@ -123,12 +124,15 @@
   stopCount = 0;
   /** Longest time between two commits of the leader, in ms. */
   longestCommitGapMs = 0;
+  /** Sizes of all passes with waiting work. */
+  readonly passSizes: PassSize[] = [];
   private committedAtMs = 0;
   private advancedAtMs = 0;
   /** Descriptions of violated invariants. */
   readonly violations: string[] = [];
   readonly events: EngineEvent[] = [];
   private readonly engine: JobEngine;
+  private readonly schedule = new PlanningSchedule();
   private readonly workers: SimulatedWorker[];
   private readonly jobs = new Map<string, Job>();
   private ordersInFlight: {
@@ -184,7 +188,8 @@
       doneAtMs: undefined,
     });
     this.engine.addJob(spec, this.nowMs, this.nowMs);
-    this.chargePass(this.engine.plan(this.nowMs));
+    this.schedule.request();
+    this.planIfDue();
     this.commitBatch();
     return id;
   }
@@ -201,14 +206,21 @@
       this.advancedAtMs = this.nowMs;
       this.deliverOrders();
       for (const worker of this.workers) this.advanceRuns(worker, elapsedMs);
-      this.chargePass(this.engine.tick(this.nowMs, this.nowMs));
+      this.engine.tick(this.nowMs, this.nowMs);
+      this.planIfDue();
       this.commitBatch();
     }
   }
 
-  /** Advances the clock by the processor time of a planning pass. */
-  private chargePass({workerChecks}: PassSize): void {
-    this.nowMs += workerChecks / (this.options.workerChecksPerMs ?? Infinity);
+  /** Plans like the leader, and advances the clock by the processor time of the pass. */
+  private planIfDue(): void {
+    if (this.schedule.delayMs(this.nowMs) > 0) return;
+    const startMs = this.nowMs;
+    const size = this.engine.plan(startMs);
+    if (size.waitingUnits > 0) this.passSizes.push(size);
+    this.nowMs +=
+      size.workerChecks / (this.options.workerChecksPerMs ?? Infinity);
+    this.schedule.recordPass(startMs, this.nowMs);
   }
 
   private makeWorker(index: number): SimulatedWorker {
@@ -322,7 +334,7 @@
     this.engine.recordInventory(worker.agent, inventory, this.nowMs);
     while (worker.nextReportAtMs <= this.nowMs)
       worker.nextReportAtMs += REPORT_INTERVAL_MS;
-    this.chargePass(this.engine.plan(this.nowMs));
+    this.schedule.request();
   }
 
   private runStatusOf(worker: SimulatedWorker, run: Run): RunStatus {
--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -290,7 +290,7 @@
         engine.cancelJob(kind.job, nowMs);
     } else if (kind.kind === 'cancel') engine.cancelJob(kind.job, nowMs);
     else return;
-    this.leaderRole.planAndFlush();
+    this.leaderRole.scheduleFlush();
   }
 
   private onReport(report: AgentReport): GateAnswer {
@@ -310,7 +310,7 @@
         engine.markWorkerLost(report.lost.worker, report.lost.reason, nowMs);
       if (inventory) engine.recordInventory(agent, inventory, nowMs);
       else engine.recordUnreachable(agent, nowMs);
-      this.leaderRole.planAndFlush();
+      this.leaderRole.scheduleFlush();
     }
     return this.createAnswer(report.sentAtMs);
   }
--- a/src/gate/leader_role.ts
+++ b/src/gate/leader_role.ts
@@ -22,6 +22,7 @@
   rowKeys,
 } from '../jobs/job_rows.js';
 import {type PassSize} from '../jobs/planner.js';
+import {PlanningSchedule} from '../jobs/planning_schedule.js';
 import {type LeaderElection} from '../jobs/leader_election.js';
 import {type ComponentLog} from '../plugins/event_log.js';
 import {type Metrics} from '../plugins/metrics.js';
@@ -76,6 +77,8 @@
   private isTakingOver = false;
   private isCommitting = false;
   private isReleasing = false;
+  private isFlushScheduled = false;
+  private readonly planningSchedule = new PlanningSchedule();
   private isRemovingJob = false;
 
   constructor(
@@ -141,8 +144,9 @@
     const nowMs = this.ctx.clock.nowMs();
     const {engine} = this;
     if (engine) {
-      this.recordPass(nowMs, engine.tick(nowMs, this.ctx.clock.wallMs()));
+      engine.tick(nowMs, this.ctx.clock.wallMs());
       void this.removeExpiredJob(engine);
+      this.planIfDue(engine);
       this.flushEngine();
     } else if (
       !this.term &&
@@ -154,20 +158,33 @@
     }
   }
 
-  /** Plans after a change, then sends the ready orders and commits the rows. */
-  planAndFlush(): void {
-    const {engine} = this;
-    if (!engine) return;
-    const nowMs = this.ctx.clock.nowMs();
-    this.recordPass(nowMs, engine.plan(nowMs));
-    this.flushEngine();
+  /**
+   * Plans after a change, then sends the ready orders and commits the rows. Changes that
+   * arrive in the same turn of the event loop share one pass.
+   */
+  scheduleFlush(): void {
+    this.planningSchedule.request();
+    if (this.isFlushScheduled) return;
+    this.isFlushScheduled = true;
+    setImmediate(() => {
+      this.isFlushScheduled = false;
+      if (this.engine) this.planIfDue(this.engine);
+      this.flushEngine();
+    });
+  }
+
+  private planIfDue(engine: JobEngine): void {
+    const {clock} = this.ctx;
+    const startMs = clock.nowMs();
+    if (this.planningSchedule.delayMs(startMs) > 0) return;
+    const size = engine.plan(startMs);
+    const endMs = clock.nowMs();
+    this.planningSchedule.recordPass(startMs, endMs);
+    if (size.waitingUnits > 0) this.recordPass(endMs - startMs, size);
   }
 
-  /** Records the duration and the size of a planning pass that started at `startMs`. */
-  private recordPass(startMs: number, size: PassSize): void {
-    const {metrics, log, clock} = this.ctx;
-    if (size.waitingUnits === 0) return;
-    const ms = clock.nowMs() - startMs;
+  private recordPass(ms: number, size: PassSize): void {
+    const {metrics, log} = this.ctx;
     metrics.recordDuration('planning_pass', ms);
     metrics.increment('planning_worker_checks', size.workerChecks);
     metrics.increment('planning_victims', size.victims);
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -130,12 +130,18 @@
 
 /** How many tasks with this request fit into the capacity. */
 export function countFits(request: Resources, capacity: Resources): number {
-  const counts = [
-    capacity.cpu / request.cpu,
-    capacity.memoryMb / request.memoryMb,
-    capacity.accelerators / request.accelerators,
-  ].filter(Number.isFinite);
-  return Math.max(0, Math.floor(Math.min(...counts)));
+  const count = Math.min(
+    quotient(capacity.cpu, request.cpu),
+    quotient(capacity.memoryMb, request.memoryMb),
+    quotient(capacity.accelerators, request.accelerators),
+  );
+  return Math.max(0, Math.floor(count));
+}
+
+/** Quotient; infinite if nothing is requested of a capacity that is not exceeded. */
+function quotient(capacity: number, request: number): number {
+  if (request > 0) return capacity / request;
+  return capacity < 0 ? 0 : Infinity;
 }
 
 /** Number of cores that one accelerator is equivalent to when work is compared. */
--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -24,15 +24,15 @@
   type TrackedStep,
   type TrackedTask,
   type Unit,
+  ranMs,
 } from './tracked_job.js';
 import {
   EMPTY_PASS,
   type PassSize,
-  type PlanInput,
   Planner,
   type WaitReason,
-  ranMs,
 } from './planner.js';
+import {type PlanInput} from './planning_pass.js';
 import {RunTimeEstimates} from './run_time_estimates.js';
 import {isStalled} from './run_progress.js';
 import {
@@ -263,8 +263,8 @@
     this.placedByWorker.delete(key);
   }
 
-  /** Opens due occurrences, drops unresponsive workers and places waiting units. */
-  tick(nowMs: number, wallMs: number): PassSize {
+  /** Opens due occurrences, drops unresponsive workers and moves stalled runs. */
+  tick(nowMs: number, wallMs: number): void {
     for (const job of this.jobs.values()) {
       if (job.isEnded) this.expireIfOld(job, nowMs);
       else if (job.spec.schedule) this.openDueOccurrences(job, nowMs, wallMs);
@@ -272,7 +272,6 @@
     this.markUnresponsiveWorkersLost(nowMs);
     if (nowMs - this.stallCheckedAtMs >= STALL_CHECK_INTERVAL_MS)
       this.moveStalledRuns(nowMs);
-    return this.plan(nowMs);
   }
 
   /** Places waiting units; returns the size of the pass. */
--- a/src/jobs/placement.ts
+++ b/src/jobs/placement.ts
@@ -3,7 +3,14 @@
  * so best fit keeps whole workers free for tasks that need all accelerators of one.
  * Tasks that depend on the rack are kept on one rack.
  */
-import {type Resources, type StepSpec, fits, subtractResources} from './job.js';
+import {getOrAdd} from '../core/fair_queue.js';
+import {
+  type Resources,
+  type StepSpec,
+  countFits,
+  fits,
+  subtractResources,
+} from './job.js';
 
 /** Free capacity of one worker, as input of a placement search. */
 export interface CandidateWorker {
@@ -40,14 +47,46 @@
   candidates: readonly CandidateWorker[],
   rules: PlacementRules,
 ): Placement {
-  const allowed = candidates.filter(r => hasRequiredLabel(step, r));
-  for (const group of candidateGroups(step, count, allowed, rules)) {
-    const placement = placeInGroup(step, count, group, rules.effort);
-    if (placement) return placement;
+  for (const group of candidateGroups(step, count, candidates, rules)) {
+    if (countSlots(step, group, rules.effort) >= count)
+      return placeInGroup(step, count, group, rules.effort);
   }
   return undefined;
 }
 
+/** Whether `place` would find workers for all tasks. */
+export function canPlace(
+  step: StepSpec,
+  count: number,
+  candidates: readonly CandidateWorker[],
+  rules: PlacementRules,
+): boolean {
+  return candidateGroups(step, count, candidates, rules).some(
+    group => countSlots(step, group, rules.effort) >= count,
+  );
+}
+
+/** Number of tasks of the step that fit on the candidates. */
+function countSlots(
+  step: StepSpec,
+  candidates: readonly CandidateWorker[],
+  effort?: SearchEffort,
+): number {
+  if (effort) effort.workerChecks += candidates.length;
+  return candidates.reduce((sum, c) => sum + slotsOf(step, c, c.free), 0);
+}
+
+/** Number of tasks of the step that fit on a candidate with this free capacity. */
+export function slotsOf(
+  step: StepSpec,
+  candidate: {readonly stepTasks: number},
+  free: Resources,
+): number {
+  const slots = countFits(step.request, free);
+  if (!step.maxPerWorker) return slots;
+  return Math.min(slots, Math.max(0, step.maxPerWorker - candidate.stepTasks));
+}
+
 /** Whether the worker has the label that the step requires. */
 export function hasRequiredLabel(
   step: StepSpec,
@@ -56,20 +95,22 @@
   return !step.requiredLabel || candidate.labels.includes(step.requiredLabel);
 }
 
-/** Groups of workers to try, starting with those on which the tasks run fastest. */
-function candidateGroups(
+/**
+ * Groups of workers with the required label to try, starting with those on which the
+ * tasks run fastest.
+ */
+export function candidateGroups(
   step: StepSpec,
   count: number,
   candidates: readonly CandidateWorker[],
   rules: PlacementRules,
 ): CandidateWorker[][] {
+  const allowed = candidates.filter(c => hasRequiredLabel(step, c));
+  if (!dependsOnRack(step, count)) return [allowed];
   const groups: CandidateWorker[][] = [];
   const byRack = new Map<string, CandidateWorker[]>();
-  for (const candidate of candidates)
-    byRack.set(candidate.rack, [
-      ...(byRack.get(candidate.rack) ?? []),
-      candidate,
-    ]);
+  for (const candidate of allowed)
+    getOrAdd(byRack, candidate.rack, () => []).push(candidate);
   const onPreferredRack = step.preferredRack
     ? byRack.get(step.preferredRack)
     : undefined;
@@ -81,11 +122,15 @@
     racks.sort((a, b) => freeAccelerators(a) - freeAccelerators(b));
     groups.push(...racks);
   }
-  const isRackAgnostic = !wantsOneRack && !step.preferredRack;
-  if (isRackAgnostic || rules.allowOtherRacks) groups.push([...candidates]);
+  if (rules.allowOtherRacks) groups.push(allowed);
   return groups;
 }
 
+/** Whether the run time of the tasks depends on the racks on which they are placed. */
+export function dependsOnRack(step: StepSpec, count: number): boolean {
+  return Boolean(step.preferredRack) || (step.sameRack && count > 1);
+}
+
 function freeAccelerators(candidates: readonly CandidateWorker[]): number {
   return candidates.reduce((sum, r) => sum + r.free.accelerators, 0);
 }
@@ -131,13 +176,3 @@
     return a.free.accelerators < b.free.accelerators;
   return a.free.cpu < b.free.cpu;
 }
-
-/** Whether the tasks fit on workers on which nothing else runs. */
-export function fitsWhenEmpty(
-  step: StepSpec,
-  count: number,
-  empty: readonly CandidateWorker[],
-  rules: PlacementRules,
-): boolean {
-  return place(step, count, empty, rules) !== undefined;
-}
--- a/src/jobs/planner.ts
+++ b/src/jobs/planner.ts
@@ -3,12 +3,7 @@
  * free capacity for urgent work. It only decides; the engine carries out the decisions.
  */
 import {getOrAdd} from '../core/fair_queue.js';
-import {
-  type JobTables,
-  type StepSpec,
-  addResources,
-  coreEquivalents,
-} from './job.js';
+import {coreEquivalents} from './job.js';
 import {
   type WaitingWork,
   compareWaiting,
@@ -16,24 +11,29 @@
   objectiveAtMs,
 } from './placement_order.js';
 import {
-  type TrackedJob,
+  type TrackedStep,
   type TrackedTask,
   type Unit,
   totalRequest,
 } from './tracked_job.js';
 import {
   type CandidateWorker,
-  type SearchEffort,
-  fitsWhenEmpty,
+  type Placement,
+  canPlace,
+  dependsOnRack,
   hasRequiredLabel,
   place,
 } from './placement.js';
-import {type Victim, planPreemption} from './preemption_plan.js';
+import {
+  type PlanInput,
+  type PreemptibleUnit,
+  PlanningPass,
+} from './planning_pass.js';
+import {type PreemptionPlan, planPreemption} from './preemption_plan.js';
 import {TaskState} from './job_rows.js';
-import {type RunTimeEstimates} from './run_time_estimates.js';
-import {minConcurrentTasks, countWaves} from './step_waves.js';
-import {type WorkerPool, type TrackedWorker, agentOf} from './worker_pool.js';
-import {UNHEALTHY_PENALTY, type FailureTracker} from './failure_tracker.js';
+import {minConcurrentTasks} from './step_waves.js';
+import {agentOf} from './worker_pool.js';
+import {UNHEALTHY_PENALTY} from './failure_tracker.js';
 
 /** Longest wait for the preferred rack, as a fraction of the expected run time. */
 const RACK_WAIT_SHARE = 0.5; // on other racks a task takes three times as long
@@ -47,17 +47,6 @@
 /** Late work may preempt when fewer run times than this remain to its late limit. */
 const LATE_LIMIT_MARGIN_RUNS = 2; // its own run, and one run that may end before it
 
-export interface PlanInput {
-  readonly nowMs: number;
-  readonly tables: JobTables;
-  readonly waiting: ReadonlySet<Unit>;
-  /** Placed units; they count towards guarantees and may be preempted. */
-  readonly placed: ReadonlySet<Unit>;
-  readonly pool: WorkerPool;
-  readonly failureTracker: FailureTracker;
-  readonly runTimes: RunTimeEstimates;
-}
-
 export interface PlanOutput {
   place(unit: Unit, workers: readonly string[]): void;
   preempt(victim: Unit, beneficiary: Unit): void;
@@ -93,149 +82,111 @@
 } as const;
 export type WaitReason = (typeof WaitReason)[keyof typeof WaitReason];
 
+/** Reasons after which other units of the same step may still get capacity. */
+const FREES_CAPACITY: ReadonlySet<WaitReason> = new Set([
+  WaitReason.PREEMPTION_IN_PROGRESS,
+  WaitReason.RUNS_END_SOON,
+]);
+
 interface Hold {
   readonly unit: Unit;
   readonly untilMs: number;
 }
 
-interface WaitingUnit extends WaitingWork {
-  readonly unit: Unit;
+/**
+ * Units of one step that wait. Their requests are equal, so if one of them does not fit,
+ * none does.
+ */
+interface WaitingGroup extends WaitingWork {
+  /** In the order of their tasks. */
+  readonly units: Unit[];
 }
 
 export class Planner {
   /** Workers held for a unit for which capacity is being freed, by worker key. */
   private readonly holds = new Map<string, Hold>();
-  private readonly effort: SearchEffort = {workerChecks: 0};
-  private victimsConsidered = 0;
 
   plan(input: PlanInput, output: PlanOutput): PassSize {
-    this.effort.workerChecks = 0;
-    this.victimsConsidered = 0;
     const waitingUnits = input.waiting.size;
-    this.placeWaiting(input, output);
+    const pass = new PlanningPass(input);
+    this.releaseHolds(input);
+    for (const group of rankWaiting(pass)) this.placeGroup(group, pass, output);
     return {
       waitingUnits,
       workers: input.pool.workers.size,
-      workerChecks: this.effort.workerChecks,
-      victims: this.victimsConsidered,
+      workerChecks: pass.effort.workerChecks,
+      victims: pass.victimsConsidered,
     };
   }
 
-  private placeWaiting(input: PlanInput, output: PlanOutput): void {
-    this.releaseHolds(input);
-    for (const waitingUnit of this.rankWaiting(input)) {
-      const {unit} = waitingUnit;
-      if (input.nowMs < unit.notBeforeMs) continue;
-      const candidates = this.candidatesFor(unit, input);
-      if (candidates.length === 0) continue;
-      const allowOtherRacks = this.allowOtherRacks(unit, candidates, input);
-      const {spec} = unit.step;
-      const count = unit.tasks.length;
-      const workers = place(spec, count, candidates, {
-        allowOtherRacks,
-        effort: this.effort,
-      });
-      if (workers) output.place(unit, workers);
-      else if (unit.job.currentQueue(input.tables.queues).priority === 0) {
-        const reason = this.tryPreempt(waitingUnit, candidates, input, output);
+  private placeGroup(
+    group: WaitingGroup,
+    pass: PlanningPass,
+    output: PlanOutput,
+  ): void {
+    const held = new Set([...this.holds.values()].map(h => h.unit));
+    let isFull = false;
+    for (const unit of group.units) {
+      if (pass.input.nowMs < unit.notBeforeMs) continue;
+      if (isFull && !held.has(unit)) continue;
+      const candidates = this.candidatesFor(unit, pass);
+      const workers = findWorkers(unit, candidates, pass);
+      if (workers) {
+        output.place(unit, workers);
+        pass.recordPlacement(unit, workers);
+      } else if (candidates.length === 0 || !pass.isUrgent(unit)) {
+        isFull = true;
+      } else {
+        const reason = this.tryPreempt(unit, group, candidates, pass, output);
         output.wait(unit, reason);
+        isFull = !FREES_CAPACITY.has(reason);
       }
     }
   }
 
-  private rankWaiting(input: PlanInput): WaitingUnit[] {
-    const guaranteed = guaranteedUnits(input);
-    const criticalPaths = new Map<TrackedJob, number>();
-    const ranked = [...input.waiting].map(unit => ({
-      unit,
-      isGuaranteed: guaranteed.has(unit),
-      queue: unit.job.currentQueue(input.tables.queues),
-      arrivalMs: unit.step.occurrence.dueAtMs,
-      criticalPathMs: getOrAdd(criticalPaths, unit.job, () =>
-        expectedCriticalPathMs(unit.job, input),
-      ),
-    }));
-    return ranked.sort(
-      (a, b) =>
-        compareWaiting(a, b, input.nowMs) ||
-        a.unit.tasks[0].index - b.unit.tasks[0].index,
-    );
-  }
-
-  private candidatesFor(unit: Unit, input: PlanInput): CandidateWorker[] {
-    const {service} = unit.job.currentQueue(input.tables.queues);
-    return input.pool
-      .ofService(service)
-      .filter(w => w.acceptsWork(input.nowMs) && !this.isHeldForOther(w, unit))
-      .map(w => toCandidate(w, unit, input));
+  private candidatesFor(
+    unit: Unit,
+    pass: PlanningPass,
+  ): readonly CandidateWorker[] {
+    const all = pass.candidatesOf(pass.serviceOf(unit));
+    const available =
+      this.holds.size === 0
+        ? all
+        : all.filter(c => !this.isHeldForOther(c.worker, unit));
+    const isUniform =
+      !unit.step.spec.maxPerWorker && unit.failedAgents.length === 0;
+    return isUniform ? available : available.map(c => forUnit(c, unit));
   }
 
-  private isHeldForOther(worker: TrackedWorker, unit: Unit): boolean {
-    const hold = this.holds.get(worker.key);
+  private isHeldForOther(worker: string, unit: Unit): boolean {
+    const hold = this.holds.get(worker);
     return hold !== undefined && hold.unit !== unit;
   }
 
-  /**
-   * Whether the unit may be placed off its rack. It runs slower there, so it first waits
-   * for the rack, unless the rack could not hold it even when empty.
-   */
-  private allowOtherRacks(
-    unit: Unit,
-    candidates: readonly CandidateWorker[],
-    input: PlanInput,
-  ): boolean {
-    const {spec} = unit.step;
-    const expectedMs = expectedRunMs(unit, input);
-    if (input.nowMs - unit.readyAtMs > expectedMs * RACK_WAIT_SHARE)
-      return true;
-    const empty = candidates.map(candidate => ({
-      ...candidate,
-      free: input.pool.get(candidate.worker)!.report.capacity,
-      stepTasks: 0,
-    }));
-    const rules = {allowOtherRacks: false, effort: this.effort};
-    return !fitsWhenEmpty(spec, unit.tasks.length, empty, rules);
-  }
-
   private tryPreempt(
-    waitingUnit: WaitingUnit,
+    unit: Unit,
+    group: WaitingGroup,
     candidates: readonly CandidateWorker[],
-    input: PlanInput,
+    pass: PlanningPass,
     output: PlanOutput,
   ): WaitReason {
-    const {unit} = waitingUnit;
     if ([...this.holds.values()].some(h => h.unit === unit))
       return WaitReason.PREEMPTION_IN_PROGRESS;
-    if (!waitingUnit.isGuaranteed && !this.needsCapacityNow(waitingUnit, input))
+    if (!group.isGuaranteed && !this.needsCapacityNow(unit, group, pass))
       return WaitReason.PREEMPTION_NOT_NEEDED;
-    if (this.holdEndingCapacity(unit, candidates, input))
+    if (this.holdEndingCapacity(unit, candidates, pass))
       return WaitReason.RUNS_END_SOON;
-    const units = victimsFor(unit, candidates, input);
-    const victims = [...units].map(([id, victim]) =>
-      toVictim(id, victim, input.nowMs),
-    );
-    this.victimsConsidered += victims.length;
-    const {spec} = unit.step;
-    const count = unit.tasks.length;
-    const {effort} = this;
-    const plan =
-      planPreemption(spec, count, candidates, victims, {
-        allowOtherRacks: false,
-        effort,
-      }) ??
-      planPreemption(spec, count, candidates, victims, {
-        allowOtherRacks: true,
-        effort,
-      });
+    const units = victimsFor(unit, candidates, pass);
+    const plan = findPreemption(unit, candidates, units, pass);
     if (!plan) return WaitReason.TOO_FEW_VICTIMS;
-    if (
-      !waitingUnit.isGuaranteed &&
-      !isCheaperThanWork(unit, plan.costCoreMs, input)
-    )
+    if (!group.isGuaranteed && !isCheaperThanWork(unit, plan.costCoreMs, pass))
       return WaitReason.TOO_COSTLY;
-    for (const victim of plan.victims)
-      output.preempt(units.get(victim.id)!, unit);
-    const untilMs = input.nowMs + CAPACITY_HOLD_MS;
+    for (const {id} of plan.victims) {
+      const victim = units.get(id)!.unit;
+      output.preempt(victim, unit);
+      pass.recordPreemption(victim);
+    }
+    const untilMs = pass.input.nowMs + CAPACITY_HOLD_MS;
     for (const worker of plan.placement)
       this.holds.set(worker, {unit, untilMs});
     return WaitReason.PREEMPTION_IN_PROGRESS;
@@ -243,21 +194,18 @@
 
   /** Whether the work would miss its objective or late limit without preemption now. */
   private needsCapacityNow(
-    waitingUnit: WaitingUnit,
-    input: PlanInput,
+    unit: Unit,
+    group: WaitingGroup,
+    pass: PlanningPass,
   ): boolean {
-    const {unit} = waitingUnit;
-    const runMs = expectedRunMs(unit, input);
-    const meetsObjective = input.nowMs + runMs <= objectiveAtMs(waitingUnit);
+    const {nowMs} = pass.input;
+    const runMs = pass.expectedRunMs(unit);
+    const meetsObjective = nowMs + runMs <= objectiveAtMs(group);
     if (!meetsObjective)
-      return (
-        input.nowMs + LATE_LIMIT_MARGIN_RUNS * runMs >
-        lateLimitAtMs(waitingUnit)
-      );
+      return nowMs + LATE_LIMIT_MARGIN_RUNS * runMs > lateLimitAtMs(group);
     if (unit.isGang) return true;
     const {step} = unit;
-    const leftMs =
-      objectiveAtMs(waitingUnit) - input.nowMs - pathAfterMs(unit, input);
+    const leftMs = objectiveAtMs(group) - nowMs - pass.pathAfterMs(unit);
     const tasksLeft = step.tasks.filter(t => !isDone(t)).length;
     const placed = step.tasks.filter(t => t.isPlaced && !t.isStopping).length;
     const held = new Set(
@@ -268,34 +216,32 @@
 
   /** Whether a unit would fit now on healthy workers other than one agent's worker. */
   fitsElsewhere(unit: Unit, agent: string, input: PlanInput): boolean {
-    const candidates = this.candidatesFor(unit, input).filter(
-      r => agentOf(r.worker) !== agent && r.penalty < UNHEALTHY_PENALTY,
-    );
-    const {spec} = unit.step;
-    return (
-      place(spec, unit.tasks.length, candidates, {
-        allowOtherRacks: true,
-        effort: this.effort,
-      }) !== undefined
+    const candidates = this.candidatesFor(unit, new PlanningPass(input)).filter(
+      c => agentOf(c.worker) !== agent && c.penalty < UNHEALTHY_PENALTY,
     );
+    const rules = {allowOtherRacks: true};
+    return canPlace(unit.step.spec, unit.tasks.length, candidates, rules);
   }
 
   /** Holds workers whose runs will soon free enough capacity; false if none do. */
   private holdEndingCapacity(
     unit: Unit,
     candidates: readonly CandidateWorker[],
-    input: PlanInput,
+    pass: PlanningPass,
   ): boolean {
-    const {spec} = unit.step;
-    const expectedMs = expectedRunMs(unit, input);
+    const {nowMs} = pass.input;
+    const expectedMs = pass.expectedRunMs(unit);
     const waitMs = Math.min(MAX_END_WAIT_MS, expectedMs * END_WAIT_SHARE);
-    const leftMs = waitMs - (input.nowMs - unit.readyAtMs);
+    const leftMs = waitMs - (nowMs - unit.readyAtMs);
     if (leftMs <= 0) return false;
-    const candidatesSoon = candidatesAfter(candidates, leftMs, input);
-    const rules = {allowOtherRacks: false, effort: this.effort};
-    const placement = place(spec, unit.tasks.length, candidatesSoon, rules);
+    const placement = place(
+      unit.step.spec,
+      unit.tasks.length,
+      pass.candidatesAfter(candidates, leftMs),
+      {allowOtherRacks: false, effort: pass.effort},
+    );
     if (!placement) return false;
-    const untilMs = input.nowMs + leftMs;
+    const untilMs = nowMs + leftMs;
     for (const worker of placement) this.holds.set(worker, {unit, untilMs});
     return true;
   }
@@ -308,28 +254,103 @@
   }
 }
 
-function toCandidate(
-  worker: TrackedWorker,
+/** Groups of waiting units, in the order in which they are to be placed. */
+function rankWaiting(pass: PlanningPass): WaitingGroup[] {
+  const {input} = pass;
+  const guaranteed = guaranteedUnits(input);
+  const groups = new Map<TrackedStep, Map<boolean, WaitingGroup>>();
+  for (const unit of input.waiting) {
+    const isGuaranteed = guaranteed.has(unit);
+    const ofStep = getOrAdd(groups, unit.step, () => new Map());
+    const group = getOrAdd(ofStep, isGuaranteed, () => ({
+      units: [],
+      isGuaranteed,
+      queue: unit.job.currentQueue(input.tables.queues),
+      arrivalMs: unit.step.occurrence.dueAtMs,
+      criticalPathMs: pass.criticalPathMs(unit.job),
+    }));
+    group.units.push(unit);
+  }
+  const ranked = [...groups.values()].flatMap(g => [...g.values()]);
+  for (const {units} of ranked)
+    units.sort((a, b) => a.tasks[0].index - b.tasks[0].index);
+  return ranked.sort((a, b) => compareWaiting(a, b, input.nowMs));
+}
+
+/**
+ * Finds workers for the unit. It runs slower off its rack, so it first waits for the rack,
+ * unless the rack could not hold it even when empty.
+ */
+function findWorkers(
   unit: Unit,
-  input: PlanInput,
-): CandidateWorker {
-  const stepTasks = unit.step.spec.maxPerWorker
-    ? unit.step.tasks.filter(t => t.worker === worker.key).length
-    : 0;
-  const failurePenalty = unit.failedAgents.includes(worker.agent)
-    ? UNHEALTHY_PENALTY
-    : 0;
+  candidates: readonly CandidateWorker[],
+  pass: PlanningPass,
+): Placement {
+  const {spec} = unit.step;
+  const count = unit.tasks.length;
+  const {effort, input} = pass;
+  const onRack = {allowOtherRacks: false, effort};
+  const placement = place(spec, count, candidates, onRack);
+  if (placement || !dependsOnRack(spec, count)) return placement;
+  const waitedMs = input.nowMs - unit.readyAtMs;
+  const mayWaitLonger = waitedMs <= pass.expectedRunMs(unit) * RACK_WAIT_SHARE;
+  if (mayWaitLonger) {
+    const empty = candidates.map(candidate => ({
+      ...candidate,
+      free: input.pool.get(candidate.worker)!.report.capacity,
+      stepTasks: 0,
+    }));
+    if (canPlace(spec, count, empty, onRack)) return undefined;
+  }
+  return place(spec, count, candidates, {allowOtherRacks: true, effort});
+}
+
+/** The candidate as one unit sees it. */
+function forUnit(candidate: CandidateWorker, unit: Unit): CandidateWorker {
+  const {worker} = candidate;
+  const hasFailed = unit.failedAgents.includes(agentOf(worker));
   return {
-    worker: worker.key,
-    rack: worker.report.rack,
-    labels: worker.report.labels,
-    free: worker.free,
-    stepTasks,
-    penalty:
-      input.failureTracker.penalty(worker.agent, input.nowMs) + failurePenalty,
+    ...candidate,
+    stepTasks: unit.step.spec.maxPerWorker
+      ? unit.step.tasks.filter(t => t.worker === worker).length
+      : 0,
+    penalty: candidate.penalty + (hasFailed ? UNHEALTHY_PENALTY : 0),
   };
 }
 
+/** Preemptible units on the candidate workers, by the name of their first task. */
+function victimsFor(
+  unit: Unit,
+  candidates: readonly CandidateWorker[],
+  pass: PlanningPass,
+): Map<string, PreemptibleUnit> {
+  const allowed = candidates.filter(c => hasRequiredLabel(unit.step.spec, c));
+  const workers = new Set(allowed.map(c => c.worker));
+  const found = pass
+    .preemptibleUnits()
+    .filter(({victim}) => victim.freed.some(f => workers.has(f.worker)));
+  return new Map(found.map(p => [p.victim.id, p]));
+}
+
+/** Preemption that frees capacity for the unit, on its own rack if possible. */
+function findPreemption(
+  unit: Unit,
+  candidates: readonly CandidateWorker[],
+  units: ReadonlyMap<string, PreemptibleUnit>,
+  pass: PlanningPass,
+): PreemptionPlan | undefined {
+  const {spec} = unit.step;
+  const count = unit.tasks.length;
+  const {effort} = pass;
+  const victims = [...units.values()].map(p => p.victim);
+  pass.victimsConsidered += victims.length;
+  const onRack = {allowOtherRacks: false, effort};
+  const plan = planPreemption(spec, count, candidates, victims, onRack);
+  if (plan || !dependsOnRack(spec, count)) return plan;
+  const onAnyRack = {allowOtherRacks: true, effort};
+  return planPreemption(spec, count, candidates, victims, onAnyRack);
+}
+
 /** Waiting units of priority 0 that lie within the guarantee of their workspace. */
 function guaranteedUnits(input: PlanInput): Set<Unit> {
   const inUse = new Map<string, number>();
@@ -355,132 +376,20 @@
   return guaranteed;
 }
 
-/** Candidates with the capacity that will be free after `withinMs`. */
-function candidatesAfter(
-  candidates: readonly CandidateWorker[],
-  withinMs: number,
-  input: PlanInput,
-): CandidateWorker[] {
-  const after = new Map(candidates.map(r => [r.worker, {...r}]));
-  for (const unit of input.placed) {
-    const {spec} = unit.step;
-    for (const task of unit.tasks) {
-      const candidate = after.get(task.worker);
-      if (!task.isPlaced || !candidate) continue;
-      const remainingTaskMs = task.isStopping ? 0 : remainingMs(task, input);
-      if (remainingTaskMs <= withinMs)
-        candidate.free = addResources(candidate.free, spec.request);
-    }
-  }
-  return [...after.values()];
-}
-
-/** Expected remaining run time of a placed task, in ms. */
-function remainingMs(task: TrackedTask, input: PlanInput): number {
-  const {spec, occurrence} = task.step;
-  return input.runTimes.remainingMs(
-    occurrence.job.spec.queue,
-    spec.estimateMs,
-    {
-      ranMs: ranMs(task, input.nowMs),
-      percent: task.percent,
-    },
-  );
-}
-
-/** Lower-priority units on the candidate workers, by the name of their first task. */
-function victimsFor(
-  unit: Unit,
-  candidates: readonly CandidateWorker[],
-  input: PlanInput,
-): Map<string, Unit> {
-  const allowed = candidates.filter(r => hasRequiredLabel(unit.step.spec, r));
-  const workers = new Set(allowed.map(r => r.worker));
-  const victims = new Map<string, Unit>();
-  for (const placed of input.placed) {
-    if (placed.job.currentQueue(input.tables.queues).priority === 0) continue;
-    if (placed.isStopping || placed.job.isEnded) continue;
-    if (placed.tasks.some(t => t.isPlaced && workers.has(t.worker)))
-      victims.set(placed.tasks[0].name, placed);
-  }
-  return victims;
-}
-
-function toVictim(id: string, unit: Unit, nowMs: number): Victim {
-  const placed = unit.tasks.filter(t => t.isPlaced);
-  return {
-    id,
-    freed: placed.map(t => ({
-      worker: t.worker,
-      request: unit.step.spec.request,
-    })),
-    costCoreMs: unit.stopCostCoreMs(nowMs),
-  };
-}
-
 /** Whether preempting loses less work than the unit has; not needed within a guarantee. */
 function isCheaperThanWork(
   unit: Unit,
   costCoreMs: number,
-  input: PlanInput,
+  pass: PlanningPass,
 ): boolean {
   const {spec} = unit.step;
   const ownCoreMs =
-    expectedRunMs(unit, input) *
+    pass.expectedRunMs(unit) *
     coreEquivalents(spec.request) *
     unit.tasks.length;
   return costCoreMs < ownCoreMs;
 }
 
-function expectedRunMs(unit: Unit, input: PlanInput): number {
-  return input.runTimes.expectedMs(
-    unit.job.spec.queue,
-    unit.step.spec.estimateMs,
-  );
-}
-
-/** Expected critical path of the job in ms; a wide step counts in waves. */
-function expectedCriticalPathMs(job: TrackedJob, input: PlanInput): number {
-  const {steps} = job.spec;
-  const ends: number[] = [];
-  for (const step of steps) {
-    const startMs = Math.max(0, ...step.after.map(i => ends[i]));
-    ends.push(startMs + expectedStepMs(job, step, input));
-  }
-  return Math.max(0, ...ends);
-}
-
-/** Expected critical path of the steps that follow the unit's step, in ms. */
-function pathAfterMs(unit: Unit, input: PlanInput): number {
-  const {steps} = unit.job.spec;
-  const after = steps.map(() => 0);
-  for (let i = steps.length - 1; i >= 0; i--) {
-    const wholeMs = after[i] + expectedStepMs(unit.job, steps[i], input);
-    for (const before of steps[i].after)
-      after[before] = Math.max(after[before], wholeMs);
-  }
-  return after[unit.step.number];
-}
-
-function expectedStepMs(
-  job: TrackedJob,
-  step: StepSpec,
-  input: PlanInput,
-): number {
-  const runMs = input.runTimes.expectedMs(job.spec.queue, step.estimateMs);
-  if (step.gang) return runMs;
-  const {service} = job.currentQueue(input.tables.queues);
-  return (
-    runMs *
-    countWaves(step.count, input.pool.taskCapacity(service, step.request))
-  );
-}
-
 function isDone(task: TrackedTask): boolean {
   return task.state === TaskState.DONE;
 }
-
-/** Time for which a placed task has been running, in ms; 0 before it starts. */
-export function ranMs(task: TrackedTask, nowMs: number): number {
-  return task.runningSinceMs === 0 ? 0 : nowMs - task.runningSinceMs;
-}
--- a/src/jobs/tracked_job.ts
+++ b/src/jobs/tracked_job.ts
@@ -283,3 +283,8 @@
     accelerators: request.accelerators * tasks,
   };
 }
+
+/** Time for which a placed task has been running, in ms; 0 before it starts. */
+export function ranMs(task: TrackedTask, nowMs: number): number {
+  return task.runningSinceMs === 0 ? 0 : nowMs - task.runningSinceMs;
+}
--- a/tests/features/job_decisions.feature
+++ b/tests/features/job_decisions.feature
@@ -37,6 +37,10 @@
     When 3 accelerators are freed by preemption
     Then the 3 youngest are stopped
 
+  # Guards against preemption plans that differ from a search for each set of victims.
+  Scenario: Preemption plans equal those of a search for each set of victims
+    Then the preempted runs of 500 random loads are those of a search for each set of victims
+
   Scenario: Guaranteed work is placed first, and work past its late limit last
     Given waiting work: past its late limit, urgent, guaranteed and old
     Then it is placed in the order guaranteed, urgent, old, late
@@ -100,3 +104,13 @@
     Given a leader that checks 2000 workers per ms, and 68 workers full of small batch runs
     When 15 batch jobs of 30 tasks and 60 urgent jobs of 5 tasks of 8 accelerators wait for 10000 ms
     Then the leader commits at least every 2000 ms
+
+  # Guards against passes that search for each of many equal tasks of which none fits.
+  Scenario: A step that does not fit costs a pass the same for one task as for many
+    Then planning for 500 waiting batch tasks on 68 full workers takes as many worker checks as for 1
+
+  # Guards against a leader that plans after each report and has no time left for anything else.
+  Scenario: Planning leaves the leader most of its time
+    Given a planning pass that takes 400 ms, requested every 10 ms
+    Then passes take at most a quarter of 64000 ms
+    And a pass is due 100 ms after the last one without a request
--- a/tests/steps/decision_steps.ts
+++ b/tests/steps/decision_steps.ts
@@ -16,6 +16,9 @@
   type Victim,
   planPreemption,
 } from '../../src/jobs/preemption_plan.js';
+import {PlanningSchedule} from '../../src/jobs/planning_schedule.js';
+import {Random} from '../../src/core/random.js';
+import {expectedVictims} from '../fixtures/preemption_oracle.js';
 import {LeaderElection} from '../../src/jobs/leader_election.js';
 import {type RunProgress, isStalled} from '../../src/jobs/run_progress.js';
 import {
@@ -25,6 +28,7 @@
 import {type StepSpec} from '../../src/jobs/job.js';
 import {TEST_QUEUE, makeStep} from '../fixtures/job_cluster.js';
 
+const SEED = 20261204;
 const PREFERRED_RACK_ONLY = {allowOtherRacks: false};
 const ANY_RACK = {allowOtherRacks: true};
 
@@ -38,6 +42,8 @@
 let run: RunProgress;
 let lease: {leaseMs: number; isolationMs: number};
 let takeoverMs: number;
+let passMs: number;
+let requestIntervalMs: number;
 
 function makeCandidate(
   worker: string,
@@ -193,6 +199,81 @@
   );
 });
 
+function randomLoad(random: Random): void {
+  const accelerators = [1, 2, 4, 8][random.nextInt(4)];
+  step = stepRequesting(accelerators, {
+    gang: true,
+    sameRack: random.next() < 0.5,
+    preferredRack: random.next() < 0.2 ? 'r1' : undefined,
+    maxPerWorker: random.next() < 0.2 ? 2 : undefined,
+  });
+  candidates = Array.from({length: 9}, (unused, i) => ({
+    ...makeCandidate(`w${i}`, random.nextInt(3), `r${i % 3}`),
+    stepTasks: random.nextInt(2),
+  }));
+  victims = Array.from({length: random.nextInt(40)}, (unused, i) => ({
+    id: `v${i}`,
+    freed: Array.from({length: 1 + random.nextInt(3)}, () => ({
+      worker: `w${random.nextInt(10)}`,
+      request: stepRequesting(1 + random.nextInt(4)).request,
+    })),
+    costCoreMs: random.nextInt(1000),
+  }));
+}
+
+Then(
+  'the preempted runs of {int} random loads are those of a search for each set of victims',
+  (loads: number) => {
+    const random = new Random(SEED);
+    let plans = 0;
+    for (let i = 0; i < loads; i++) {
+      randomLoad(random);
+      const count = 1 + random.nextInt(4);
+      const rules = {allowOtherRacks: random.next() < 0.5};
+      const args = [step, count, candidates, victims, rules] as const;
+      const found = planPreemption(...args);
+      const ids = found?.victims.map(v => v.id);
+      // Loads that fit without preemption are not planned for.
+      if (place(step, count, candidates, rules)) continue;
+      assert.deepEqual(ids, expectedVictims(...args), `load ${i}`);
+      if (found) plans++;
+    }
+    assert.ok(plans > loads / 10, `${plans} loads had a plan`);
+  },
+);
+
+Given(
+  'a planning pass that takes {int} ms, requested every {int} ms',
+  (takesMs: number, everyMs: number) => {
+    passMs = takesMs;
+    requestIntervalMs = everyMs;
+  },
+);
+
+Then('passes take at most a quarter of {int} ms', (durationMs: number) => {
+  const schedule = new PlanningSchedule();
+  let passes = 0;
+  for (let nowMs = 0; nowMs < durationMs; nowMs += requestIntervalMs) {
+    schedule.request();
+    if (schedule.delayMs(nowMs) > 0) continue;
+    schedule.recordPass(nowMs, nowMs + passMs);
+    passes++;
+    nowMs += passMs;
+  }
+  assert.ok(passes > 1, `${passes} passes`);
+  assert.ok(passes * passMs <= durationMs / 4, `${passes} passes`);
+});
+
+Then(
+  'a pass is due {int} ms after the last one without a request',
+  (intervalMs: number) => {
+    const schedule = new PlanningSchedule();
+    schedule.recordPass(0, 1);
+    assert.equal(schedule.delayMs(1), intervalMs);
+    assert.equal(schedule.delayMs(1 + intervalMs), 0);
+  },
+);
+
 Then('the 3 youngest are stopped', () => {
   assert.deepEqual(
     plan?.victims.map(v => v.id),
--- a/tests/steps/job_steps.ts
+++ b/tests/steps/job_steps.ts
@@ -559,6 +559,7 @@
   });
   engine.restore(storedJob!.jobIndex, 0, 0);
   engine.tick(100, 100);
+  engine.plan(100);
   assert.equal(engine.waitingUnitCount, 0);
   const batch = engine.takeBatch();
   puts = batch?.puts ?? [];
--- a/tests/steps/load_steps.ts
+++ b/tests/steps/load_steps.ts
@@ -177,6 +177,23 @@
   assert.ok(gapMs <= limitMs, `the leader was busy for ${gapMs} ms`);
 });
 
+Then(
+  'planning for {int} waiting batch tasks on {int} full workers takes as many worker checks as for {int}',
+  (manyTasks: number, workers: number, fewTasks: number) => {
+    const [many, few] = [manyTasks, fewTasks].map(tasks => {
+      simulation = createSimulation(workers);
+      submit('batch', 'shed', workers, ACCELERATORS, COMPLETION_TIME_MS);
+      simulation.advance(BATCH_AGE_MS);
+      submit('batch', 'shed', tasks, 1, COMPLETION_TIME_MS);
+      simulation.advance(BATCH_AGE_MS);
+      return simulation.passSizes.at(-1)!;
+    });
+    assert.equal(many.waitingUnits, manyTasks);
+    assert.ok(few.workerChecks > 0);
+    assert.equal(many.workerChecks, few.workerChecks);
+  },
+);
+
 Then('no worker was over its capacity', () => {
   assert.deepEqual(simulation.violations, []);
 });
