Count the age of adopted runs from their progress

What callers saw: work thrown away after a change of leader. Cause: a new leader counted the age of each adopted run from its first report, so runs that were nearly done were the cheapest to preempt, and their short observed times shrank the estimates of their queue. The age now follows from the reported progress and the expected run time.

--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -198,7 +198,7 @@
       if (!task) continue;
       task.statusAtMs = nowMs;
       if (status.isRunning && task.runningSinceMs === 0) {
-        task.runningSinceMs = nowMs;
+        task.runningSinceMs = nowMs - this.expectedRanMs(task, status.percent);
         task.progressAtMs = nowMs;
       }
       if (status.percent !== task.percent) {
@@ -210,6 +210,13 @@
     }
   }
 
+  /** Time that a run with this progress has run, as another leader may have started it. */
+  private expectedRanMs(task: TrackedTask, percent: number): number {
+    const {spec, occurrence} = task.step;
+    const {queue} = occurrence.job.spec;
+    return (percent / 100) * this.runTimes.expectedMs(queue, spec.estimateMs);
+  }
+
   recordEnds(
     agent: string,
     key: string,
--- a/tests/features/job_recovery.feature
+++ b/tests/features/job_recovery.feature
@@ -232,3 +232,9 @@
     When its leader is replaced after 1200 ms
     Then an occurrence starts at 500, 1500 and 2500 ms, within 100 ms
     And the job is completed with the last occurrence
+
+  # Guards against preemption of long runs that a new leader takes for young ones.
+  Scenario: A new leader knows how much work of adopted runs a stop would lose
+    Given a stored job with a run of 10000 ms on a worker
+    When a new leader finds that run at 50 % and the worker is lost
+    Then the leader counts 50 % of the run as lost work
--- a/tests/steps/job_steps.ts
+++ b/tests/steps/job_steps.ts
@@ -18,7 +18,13 @@
 import {sleep} from '../../src/plugins/sleep.js';
 import {type RowValue} from '../../src/ports/state_store.js';
 import {Random} from '../../src/core/random.js';
-import {formatTaskName, type JobSpec} from '../../src/jobs/job.js';
+import {type WorkerReport, workerKey} from '../../src/jobs/worker_pool.js';
+import {
+  formatTaskName,
+  type JobSpec,
+  type StepSpec,
+  coreEquivalents,
+} from '../../src/jobs/job.js';
 import {
   type AgentHandle,
   type GateHandle,
@@ -516,6 +522,29 @@
   assert.deepEqual(puts, []);
 });
 
+function makeStoredJob(steps: readonly StepSpec[]): JobSpec {
+  return {
+    id: 'j1',
+    queue: TEST_QUEUE.name,
+    acceptedWallMs: 0,
+    payload: 'p',
+    steps,
+    queueAtHandIn: TEST_QUEUE,
+  };
+}
+
+/** Index of the stored rows of a job with one task. */
+function indexOf(job: JobSpec, task: TaskRecord): JobIndex {
+  const ref = {job: job.id, occurrence: 0, step: 0, block: 0};
+  const jobIndex = new JobIndex();
+  for (const [key, value] of [
+    [rowKeys.job(job.id), encodeJob(job)],
+    [rowKeys.block(ref), encodeBlock([task])],
+  ] as const)
+    jobIndex.apply(parseRowKey(key)!, {key, value, version: 1});
+  return jobIndex;
+}
+
 let storedJob:
   {readonly jobIndex: JobIndex; readonly job?: JobSpec} | undefined;
 let puts: readonly RowValue[] = [];
@@ -524,14 +553,7 @@
 Given(
   /^the stored rows show that the only task of a job (is done|has used all of its attempts), but not the job result$/,
   (taskState: string) => {
-    const job: JobSpec = {
-      id: 'j1',
-      queue: TEST_QUEUE.name,
-      acceptedWallMs: 0,
-      payload: 'p',
-      steps: [makeStep()],
-      queueAtHandIn: TEST_QUEUE,
-    };
+    const job = makeStoredJob([makeStep()]);
     const isDone = taskState === 'is done';
     const task: TaskRecord = {
       state: isDone ? TaskState.DONE : TaskState.WAITING,
@@ -540,14 +562,7 @@
       checkpoint: '',
       failures: isDone ? 0 : TEST_QUEUE.maxAttempts,
     };
-    const ref = {job: job.id, occurrence: 0, step: 0, block: 0};
-    const jobIndex = new JobIndex();
-    for (const [key, value] of [
-      [rowKeys.job(job.id), encodeJob(job)],
-      [rowKeys.block(ref), encodeBlock([task])],
-    ] as const)
-      jobIndex.apply(parseRowKey(key)!, {key, value, version: 1});
-    storedJob = {jobIndex, job};
+    storedJob = {jobIndex: indexOf(job, task), job};
   },
 );
 
@@ -575,6 +590,76 @@
   },
 );
 
+const ADOPTED_RUN = {agent: 'a0', worker: 'w0', bornMs: 1, run: 1};
+let adoptedRunMs = 0;
+let lostCoreMs: number | undefined;
+
+Given(
+  'a stored job with a run of {int} ms on a worker',
+  (estimateMs: number) => {
+    adoptedRunMs = estimateMs;
+    const job = makeStoredJob([makeStep({estimateMs})]);
+    const task: TaskRecord = {
+      state: TaskState.PLACED,
+      run: ADOPTED_RUN.run,
+      worker: workerKey(
+        ADOPTED_RUN.agent,
+        ADOPTED_RUN.worker,
+        ADOPTED_RUN.bornMs,
+      ),
+      checkpoint: '',
+      failures: 0,
+    };
+    storedJob = {jobIndex: indexOf(job, task), job};
+  },
+);
+
+When(
+  'a new leader finds that run at {int} % and the worker is lost',
+  (percent: number) => {
+    const engine = new JobEngine(TEST_TABLES, {
+      contactTimeoutMs: 1000,
+      endedJobRetentionMs: 60_000,
+      onEvent: event => {
+        if (event.event === 'runLost') lostCoreMs = event.lostCoreMs;
+      },
+    });
+    engine.restore(storedJob!.jobIndex, 0, 0);
+    const {agent, worker, bornMs, run} = ADOPTED_RUN;
+    const report: WorkerReport = {
+      id: worker,
+      bornMs,
+      service: TEST_QUEUE.service,
+      rack: 'r0',
+      labels: [],
+      capacity: {cpu: 64_000, memoryMb: 64_000, accelerators: 8},
+      draining: false,
+      drainRemainingMs: 0,
+    };
+    const status = {
+      task: 'j1.0.0.0',
+      run,
+      isRunning: true,
+      checkpoint: '',
+      percent,
+    };
+    engine.recordInventory(
+      agent,
+      {worker: report, runs: [status], ends: []},
+      0,
+    );
+    engine.markWorkerLost(workerKey(agent, worker, bornMs), 'test', 0);
+  },
+);
+
+Then('the leader counts {int} % of the run as lost work', (percent: number) => {
+  const {request} = makeStep();
+  assert.equal(
+    lostCoreMs,
+    (percent / 100) * adoptedRunMs * coreEquivalents(request),
+  );
+});
+
 let drainingWorker:
   {readonly handle: AgentHandle; readonly starts: number} | undefined;
 
