Preempt nothing until a new leader knows the workers and the age of their runs

Cause: a new leader planned 7 to 62 ms after it had read the rows, when 1 to 3 of 68 workers had reported. It did not know of free workers, and took each adopted run for one that had just started, so stopping it seemed to cost nothing.

Change: for 700 ms after a takeover nothing is preempted, and a run that no agent has reported since is not preempted at all. With a delay of 0 the new scenario fails: the run is stopped at once.

--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -62,6 +62,8 @@
 const UNREACHABLE_BACKOFF_MS = 1200; // slightly more than two report intervals
 /** Interval between checks for stalled runs, in ms. */
 const STALL_CHECK_INTERVAL_MS = 500; // the report interval of agents
+/** Time after a takeover in which agents report their workers, in ms. */
+const PREEMPTION_DELAY_MS = 700; // one report interval, and 0.2 s to answer it
 /** Maximum number of rows in a batch; the leader row is added to each batch. */
 const MAX_BATCH_ROWS = 90;
 /** Size of the row values after which a batch takes no more rows, in bytes. */
@@ -118,6 +120,8 @@
   private readonly expiredJobIds = new Set<string>();
   private ordersAwaitingCommit: AddressedOrder[] = [];
   private stallCheckedAtMs = 0;
+  /** Time before which nothing is preempted, in ms of the monotonic clock. */
+  private preemptsFromMs = -Infinity;
   private readyOrders: AddressedOrder[] = [];
 
   constructor(
@@ -131,6 +135,7 @@
       this.loadJob(id, entry, nowMs, wallMs);
     for (const key of this.placedByWorker.keys())
       this.lastContactMs.set(agentOf(key), nowMs);
+    this.preemptsFromMs = nowMs + PREEMPTION_DELAY_MS;
   }
 
   setTables(tables: JobTables): void {
@@ -197,6 +202,7 @@
       const task = this.findPlacedTask(key, status);
       if (!task) continue;
       task.statusAtMs = nowMs;
+      task.isAgeUnknown = false;
       if (status.isRunning && task.runningSinceMs === 0) {
         task.runningSinceMs = nowMs - this.expectedRanMs(task, status.percent);
         task.progressAtMs = nowMs;
@@ -404,6 +410,7 @@
     this.tasksPlacedOn(task.worker).add(task);
     task.placedAtMs = nowMs;
     task.isOrdered = true;
+    task.isAgeUnknown = true;
     const {unit} = task;
     if (!unit) return;
     this.waiting.delete(unit);
@@ -593,6 +600,7 @@
       tables: this.tables,
       waiting: this.waiting,
       placed: this.placed,
+      mayPreempt: nowMs >= this.preemptsFromMs,
       pool: this.pool,
       failureTracker: this.failureTracker,
       runTimes: this.runTimes,
--- a/src/jobs/planner.ts
+++ b/src/jobs/planner.ts
@@ -74,6 +74,7 @@
 
 /** Why urgent work waits, for the log. */
 export const WaitReason = {
+  WORKERS_UNKNOWN: 'workers have not reported since the takeover',
   PREEMPTION_IN_PROGRESS: 'capacity is being freed for it',
   PREEMPTION_NOT_NEEDED: 'objective needs no preemption yet',
   RUNS_END_SOON: 'runs that end soon free enough capacity',
@@ -170,6 +171,7 @@
     pass: PlanningPass,
     output: PlanOutput,
   ): WaitReason {
+    if (!pass.input.mayPreempt) return WaitReason.WORKERS_UNKNOWN;
     if ([...this.holds.values()].some(h => h.unit === unit))
       return WaitReason.PREEMPTION_IN_PROGRESS;
     if (!group.isGuaranteed && !this.needsCapacityNow(unit, group, pass))
--- a/src/jobs/planning_pass.ts
+++ b/src/jobs/planning_pass.ts
@@ -28,6 +28,8 @@
   readonly waiting: ReadonlySet<Unit>;
   /** Placed units; they count towards guarantees and may be preempted. */
   readonly placed: ReadonlySet<Unit>;
+  /** Whether the workers and their runs are known well enough to stop any of them. */
+  readonly mayPreempt: boolean;
   readonly pool: WorkerPool;
   readonly failureTracker: FailureTracker;
   readonly runTimes: RunTimeEstimates;
@@ -179,6 +181,7 @@
     const found: PreemptibleUnit[] = [];
     for (const unit of this.input.placed) {
       if (this.isUrgent(unit) || unit.isStopping || unit.job.isEnded) continue;
+      if (unit.tasks.some(t => t.isPlaced && t.isAgeUnknown)) continue;
       found.push({unit, victim: toVictim(unit, this.input.nowMs)});
     }
     return found.sort((a, b) => a.victim.costCoreMs - b.victim.costCoreMs);
--- a/src/jobs/tracked_job.ts
+++ b/src/jobs/tracked_job.ts
@@ -37,6 +37,8 @@
   placedAtMs = 0;
   /** When the run was first reported running, in ms of the monotonic clock; 0 before. */
   runningSinceMs = 0;
+  /** Whether an earlier leader placed the run and no agent has reported it since. */
+  isAgeUnknown = false;
   /** Reported progress of the newest run, 0 to 100. */
   percent = 0;
   /** When the status of the run was last reported, in ms of the monotonic clock. */
@@ -91,6 +93,7 @@
     this.state = TaskState.WAITING;
     this.worker = '';
     this.runningSinceMs = 0;
+    this.isAgeUnknown = false;
     this.percent = 0;
     this.isStopping = false;
     this.stopCause = undefined;
--- a/tests/features/job_recovery.feature
+++ b/tests/features/job_recovery.feature
@@ -238,3 +238,10 @@
     Given a stored job with a run of 10000 ms on a worker
     When a new leader finds that run at 50 % and the worker is lost
     Then the leader counts 50 % of the run as lost work
+
+  # Guards against runs that a new leader stops before it knows their age and the free workers.
+  Scenario: A new leader preempts no run before the workers have reported
+    Given a stored job with a run of 10000 ms on a worker
+    When a new leader gets guaranteed work for the whole worker, which reports that run
+    Then the run is not stopped at once
+    But it is stopped 700 ms after the takeover
--- a/tests/steps/job_steps.ts
+++ b/tests/steps/job_steps.ts
@@ -4,7 +4,7 @@
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import fc from 'fast-check';
 import {JobIndex} from '../../src/jobs/job_index.js';
-import {JobEngine} from '../../src/jobs/job_engine.js';
+import {type EngineEvent, JobEngine} from '../../src/jobs/job_engine.js';
 import {
   type TaskRecord,
   TaskState,
@@ -22,6 +22,7 @@
 import {
   formatTaskName,
   type JobSpec,
+  type JobTables,
   type StepSpec,
   coreEquivalents,
 } from '../../src/jobs/job.js';
@@ -593,6 +594,7 @@
 const ADOPTED_RUN = {agent: 'a0', worker: 'w0', bornMs: 1, run: 1};
 let adoptedRunMs = 0;
 let lostCoreMs: number | undefined;
+let adoptingEngine: JobEngine | undefined;
 
 Given(
   'a stored job with a run of {int} ms on a worker',
@@ -614,44 +616,93 @@
   },
 );
 
+function makeEngine(
+  tables: JobTables,
+  onEvent: (event: EngineEvent) => void,
+): JobEngine {
+  const engine = new JobEngine(tables, {
+    contactTimeoutMs: 10_000,
+    endedJobRetentionMs: 60_000,
+    onEvent,
+  });
+  engine.restore(storedJob!.jobIndex, 0, 0);
+  return engine;
+}
+
+/** Reports the adopted run with this progress, on a worker that it fills. */
+function reportAdoptedRun(engine: JobEngine, percent: number): void {
+  const {agent, worker, bornMs, run} = ADOPTED_RUN;
+  const report: WorkerReport = {
+    id: worker,
+    bornMs,
+    service: TEST_QUEUE.service,
+    rack: 'r0',
+    labels: [],
+    capacity: makeStep().request,
+    draining: false,
+    drainRemainingMs: 0,
+  };
+  const status = {
+    task: 'j1.0.0.0',
+    run,
+    isRunning: true,
+    checkpoint: '',
+    percent,
+  };
+  const inventory = {worker: report, runs: [status], ends: []};
+  engine.recordInventory(agent, inventory, 0);
+}
+
 When(
   'a new leader finds that run at {int} % and the worker is lost',
   (percent: number) => {
-    const engine = new JobEngine(TEST_TABLES, {
-      contactTimeoutMs: 1000,
-      endedJobRetentionMs: 60_000,
-      onEvent: event => {
-        if (event.event === 'runLost') lostCoreMs = event.lostCoreMs;
-      },
+    const engine = makeEngine(TEST_TABLES, event => {
+      if (event.event === 'runLost') lostCoreMs = event.lostCoreMs;
     });
-    engine.restore(storedJob!.jobIndex, 0, 0);
-    const {agent, worker, bornMs, run} = ADOPTED_RUN;
-    const report: WorkerReport = {
-      id: worker,
-      bornMs,
-      service: TEST_QUEUE.service,
-      rack: 'r0',
-      labels: [],
-      capacity: {cpu: 64_000, memoryMb: 64_000, accelerators: 8},
-      draining: false,
-      drainRemainingMs: 0,
+    reportAdoptedRun(engine, percent);
+    const {agent, worker, bornMs} = ADOPTED_RUN;
+    engine.markWorkerLost(workerKey(agent, worker, bornMs), 'test', 0);
+  },
+);
+
+When(
+  'a new leader gets guaranteed work for the whole worker, which reports that run',
+  () => {
+    const queue = {...TEST_QUEUE, name: 'urgent', priority: 0};
+    const tables: JobTables = {
+      ...TEST_TABLES,
+      queues: new Map([...TEST_TABLES.queues, [queue.name, queue]]),
     };
-    const status = {
-      task: 'j1.0.0.0',
-      run,
-      isRunning: true,
-      checkpoint: '',
-      percent,
+    adoptingEngine = makeEngine(tables, () => undefined);
+    const job: JobSpec = {
+      ...makeStoredJob([makeStep({estimateMs: 100_000})]),
+      id: 'j2',
+      queue: queue.name,
+      workspace: 'farm',
+      queueAtHandIn: queue,
     };
-    engine.recordInventory(
-      agent,
-      {worker: report, runs: [status], ends: []},
-      0,
-    );
-    engine.markWorkerLost(workerKey(agent, worker, bornMs), 'test', 0);
+    adoptingEngine.addJob(job, 0, 0);
+    reportAdoptedRun(adoptingEngine, 1);
   },
 );
 
+/** Runs that the new leader orders to stop in a pass at this time. */
+function stopsAt(nowMs: number): string[] {
+  adoptingEngine!.plan(nowMs);
+  return adoptingEngine!
+    .takeOrders()
+    .flatMap(({order}) => (order.type === 'stop' ? [order.task] : []));
+}
+
+Then('the run is not stopped at once', () => {
+  assert.deepEqual(stopsAt(1), []);
+});
+
+Then('it is stopped {int} ms after the takeover', (afterMs: number) => {
+  assert.deepEqual(stopsAt(afterMs - 1), []);
+  assert.deepEqual(stopsAt(afterMs), ['j1.0.0.0']);
+});
+
 Then('the leader counts {int} % of the run as lost work', (percent: number) => {
   const {request} = makeStep();
   assert.equal(
