Preempt by the cost of clearing a worker as well as by that of single runs

What callers saw: work thrown away for urgent jobs that take whole workers. Cause: victims were added in ascending order of their own cost, so the plan cleared the worker whose costliest run was cheapest, not the one on which the least work was lost.

--- a/src/jobs/preemption_plan.ts
+++ b/src/jobs/preemption_plan.ts
@@ -2,6 +2,7 @@
  * Chooses the runs to preempt when urgent work, such as work within a guarantee, finds
  * the workers occupied by other work. It keeps the amount of lost work small.
  */
+import {getOrAdd} from '../core/fair_queue.js';
 import {
   type Resources,
   type StepSpec,
@@ -35,8 +36,9 @@
 }
 
 /**
- * Adds victims in ascending order of cost until the tasks fit, then removes those that
- * are not needed, the most expensive first.
+ * Chooses victims whose stop makes the tasks fit. Two searches are compared, since
+ * neither is best for all loads: one by the cost of single victims, which suits gangs that
+ * run on many workers, and one by the cost of clearing a worker.
  */
 export function planPreemption(
   step: StepSpec,
@@ -46,25 +48,95 @@
   rules: PlacementRules,
 ): PreemptionPlan | undefined {
   const byCost = [...victims].sort((a, b) => a.costCoreMs - b.costCoreMs);
-  const freed = new FreedCapacity(step, count, candidates, rules);
+  const groups = candidateGroups(step, count, candidates, rules);
+  const inAnyGroup = new FreedCapacity(step, count, groups, rules);
+  const choices = [
+    chooseByVictim(inAnyGroup, byCost),
+    ...groups.map(group =>
+      chooseByWorker(new FreedCapacity(step, count, [group], rules), byCost),
+    ),
+  ].filter(choice => choice !== undefined);
+  choices.sort((a, b) => costOf(a) - costOf(b));
+  const [cheapest] = choices;
+  if (!cheapest) return undefined;
+  const freed = new FreedCapacity(step, count, [candidates], rules);
+  for (const victim of cheapest) freed.add(victim);
+  const placement = place(step, count, freed.candidates(), rules);
+  if (!placement) return undefined;
+  return {victims: cheapest, placement, costCoreMs: costOf(cheapest)};
+}
+
+/** Adds victims in ascending order of cost until the tasks fit. */
+function chooseByVictim(
+  freed: FreedCapacity,
+  byCost: readonly Victim[],
+): Victim[] | undefined {
   const chosen: Victim[] = [];
   for (const victim of byCost) {
     if (freed.fits) break;
     freed.add(victim);
     chosen.push(victim);
   }
-  if (!freed.fits) return undefined;
+  return freed.fits ? withoutUnneeded(freed, chosen) : undefined;
+}
+
+/** Clears the worker on which a task costs least, until the tasks fit. */
+function chooseByWorker(
+  freed: FreedCapacity,
+  byCost: readonly Victim[],
+): Victim[] | undefined {
+  const victimsOn = new Map<string, Victim[]>();
+  for (const victim of byCost)
+    for (const worker of new Set(victim.freed.map(f => f.worker)))
+      getOrAdd(victimsOn, worker, () => []).push(victim);
+  const chosen: Victim[] = [];
+  const clearings = new Map<string, Clearing | undefined>();
+  while (!freed.fits) {
+    for (const worker of freed.workerKeys()) {
+      if (clearings.has(worker)) continue;
+      const left = (victimsOn.get(worker) ?? []).filter(
+        v => !chosen.includes(v),
+      );
+      clearings.set(worker, freed.cheapestClearing(worker, left));
+    }
+    let best: Clearing | undefined;
+    for (const clearing of clearings.values())
+      if (clearing && (!best || clearing.costPerTask < best.costPerTask))
+        best = clearing;
+    if (!best) return undefined;
+    for (const victim of best.victims) {
+      freed.add(victim);
+      chosen.push(victim);
+      for (const {worker} of victim.freed) clearings.delete(worker);
+    }
+  }
+  chosen.sort((a, b) => a.costCoreMs - b.costCoreMs);
+  return withoutUnneeded(freed, chosen);
+}
+
+/** Removes victims that are not needed, the most expensive first. */
+function withoutUnneeded(
+  freed: FreedCapacity,
+  byCost: readonly Victim[],
+): Victim[] {
   const needed: Victim[] = [];
-  for (const victim of chosen.reverse()) {
+  for (const victim of [...byCost].reverse()) {
     freed.remove(victim);
     if (freed.fits) continue;
     freed.add(victim);
     needed.unshift(victim);
   }
-  const placement = place(step, count, freed.candidates(), rules);
-  if (!placement) return undefined;
-  const costCoreMs = needed.reduce((sum, v) => sum + v.costCoreMs, 0);
-  return {victims: needed, placement, costCoreMs};
+  return needed;
+}
+
+function costOf(victims: readonly Victim[]): number {
+  return victims.reduce((sum, v) => sum + v.costCoreMs, 0);
+}
+
+/** Victims on one worker whose stop makes room for more tasks there. */
+interface Clearing {
+  readonly victims: readonly Victim[];
+  readonly costPerTask: number;
 }
 
 interface FreedWorker {
@@ -87,17 +159,20 @@
   constructor(
     private readonly step: StepSpec,
     private readonly count: number,
-    candidates: readonly CandidateWorker[],
+    groups: readonly (readonly CandidateWorker[])[],
     private readonly rules: PlacementRules,
   ) {
-    for (const candidate of candidates) {
-      const {worker, free} = candidate;
-      this.workers.set(worker, {candidate, groups: [], free, slots: 0});
-    }
-    const groups = candidateGroups(step, count, candidates, rules);
     groups.forEach((group, i) => {
       this.groupSlots.push(0);
-      for (const {worker} of group) this.workers.get(worker)!.groups.push(i);
+      for (const candidate of group) {
+        const {worker, free} = candidate;
+        getOrAdd(this.workers, worker, () => ({
+          candidate,
+          groups: [],
+          free,
+          slots: 0,
+        })).groups.push(i);
+      }
     });
     for (const worker of this.workers.values())
       this.updateSlots(worker, worker.free);
@@ -123,6 +198,36 @@
     }
   }
 
+  workerKeys(): Iterable<string> {
+    return this.workers.keys();
+  }
+
+  /**
+   * The cheapest of these victims, in ascending order of cost, whose stop makes room for
+   * another task on the worker; undefined if all of them don't.
+   */
+  cheapestClearing(
+    worker: string,
+    byCost: readonly Victim[],
+  ): Clearing | undefined {
+    const freed = this.workers.get(worker)!;
+    const slotsAfter = (victims: readonly Victim[]): number =>
+      this.slotsOn(freed, freedOn(worker, victims, freed.free));
+    const chosen: Victim[] = [];
+    for (const victim of byCost) {
+      chosen.push(victim);
+      if (slotsAfter(chosen) > freed.slots) break;
+    }
+    if (slotsAfter(chosen) <= freed.slots) return undefined;
+    let needed = chosen;
+    for (const victim of [...chosen].reverse()) {
+      const fewer = needed.filter(v => v !== victim);
+      if (slotsAfter(fewer) > freed.slots) needed = fewer;
+    }
+    const tasks = slotsAfter(needed) - freed.slots;
+    return {victims: needed, costPerTask: costOf(needed) / tasks};
+  }
+
   /** The candidates with the capacity that the added victims free. */
   candidates(): CandidateWorker[] {
     return [...this.workers.values()].map(({candidate, free}) => ({
@@ -132,15 +237,29 @@
   }
 
   private updateSlots(worker: FreedWorker, free: Resources): void {
-    const {effort} = this.rules;
-    if (effort) effort.workerChecks++;
-    const slots = Math.min(
-      this.count,
-      slotsOf(this.step, worker.candidate, free),
-    );
+    const slots = this.slotsOn(worker, free);
     for (const group of worker.groups)
       this.groupSlots[group] += slots - worker.slots;
     worker.free = free;
     worker.slots = slots;
   }
+
+  /** Number of tasks that fit on the worker with this free capacity, at most `count`. */
+  private slotsOn({candidate}: FreedWorker, free: Resources): number {
+    const {effort} = this.rules;
+    if (effort) effort.workerChecks++;
+    return Math.min(this.count, slotsOf(this.step, candidate, free));
+  }
+}
+
+/** Free capacity of a worker after these victims have been stopped. */
+function freedOn(
+  worker: string,
+  victims: readonly Victim[],
+  free: Resources,
+): Resources {
+  return victims
+    .flatMap(v => v.freed)
+    .filter(f => f.worker === worker)
+    .reduce((sum, f) => addResources(sum, f.request), free);
 }
