Preempt nothing for work that can't meet its late limit

Callers of batch jobs lost runs that had just been placed, because urgent work beyond its guarantee preempted them when it could no longer finish in time.

Cause: needsCapacityNow only checked that fewer than two run times remained to the late limit. That stays true after the limit has become unreachable. The placement order puts such work last, but after it failed to fit it preempted the runs placed just before it, which are young and so the cheapest victims.

Work that misses its objective now preempts only while one run, and fewer than two, fit before the late limit. Work within a guarantee is not affected.

--- a/harness/load_simulation.ts
+++ b/harness/load_simulation.ts
@@ -113,6 +113,8 @@
   /** Work discarded by stops, in core-ms; an accelerator counts as several cores. */
   discardedCoreMs = 0;
   stopCount = 0;
+  /** Number of units that were stopped for other work, started or not. */
+  preemptionCount = 0;
   /** Descriptions of violated invariants. */
   readonly violations: string[] = [];
   readonly events: EngineEvent[] = [];
@@ -289,6 +291,7 @@
   private recordDoneJobs(worker: SimulatedWorker): void {
     if (worker.unacknowledgedEnds.length === 0) return;
     for (const {event, job, reason} of this.events.splice(0)) {
+      if (event === 'preempted') this.preemptionCount++;
       if (event === 'jobEnded' && reason === 'completed')
         this.jobTimestamps.get(job!)!.doneAtMs ??= this.nowMs;
     }
--- a/src/jobs/planner.ts
+++ b/src/jobs/planner.ts
@@ -249,11 +249,11 @@
     const {unit} = waitingUnit;
     const runMs = expectedRunMs(unit, input);
     const meetsObjective = input.nowMs + runMs <= objectiveAtMs(waitingUnit);
-    if (!meetsObjective)
-      return (
-        input.nowMs + LATE_LIMIT_MARGIN_RUNS * runMs >
-        lateLimitAtMs(waitingUnit)
-      );
+    if (!meetsObjective) {
+      const marginMs = lateLimitAtMs(waitingUnit) - input.nowMs;
+      // Work past its late limit has no value that justifies lost work.
+      return marginMs >= runMs && marginMs < LATE_LIMIT_MARGIN_RUNS * runMs;
+    }
     if (unit.isGang) return true;
     const {step} = unit;
     const leftMs =
--- a/tests/features/job_decisions.feature
+++ b/tests/features/job_decisions.feature
@@ -94,3 +94,10 @@
     When 300 jobs of mixed sizes come within 60000 ms
     Then no worker was over its capacity
     And all of the jobs are done in the end
+
+  # Guards against runs that are stopped for work that can no longer finish in time.
+  Scenario: Work that can't meet its late limit preempts nothing
+    Given 12 workers that are full of batch work for 20000 ms
+    And another batch job of 20000 ms waits for all 12 workers
+    When an urgent job of 1 tasks of 8 accelerators and 1000 ms comes beyond the guarantee
+    Then no run was preempted
--- a/tests/steps/load_steps.ts
+++ b/tests/steps/load_steps.ts
@@ -69,6 +69,13 @@
   },
 );
 
+Given(
+  'another batch job of {int} ms waits for all {int} workers',
+  (workMs: number, workers: number) => {
+    submit('batch', 'shed', workers, ACCELERATORS, workMs);
+  },
+);
+
 When(
   /^(an|\d+) urgent jobs? of (\d+) tasks of (\d+) accelerators and (\d+) ms comes? (within|beyond) the guarantee$/,
   (
@@ -127,6 +134,10 @@
   );
 });
 
+Then('no run was preempted', () => {
+  assert.equal(simulation.preemptionCount, 0);
+});
+
 Then('each has begun after at most {int} ms', (maxDelayMs: number) => {
   for (const id of ids) {
     const {acceptedAtMs, startedAtMs} = simulation.jobTimestamps.get(id)!;
