--- a/harness/load_simulation.ts
+++ b/harness/load_simulation.ts
@@ -128,6 +128,8 @@
   readonly passSizes: PassSize[] = [];
   private committedAtMs = 0;
   private advancedAtMs = 0;
+  /** Number of units that were stopped for other work, started or not. */
+  preemptionCount = 0;
   /** Descriptions of violated invariants. */
   readonly violations: string[] = [];
   readonly events: EngineEvent[] = [];
@@ -320,6 +322,7 @@
   private recordDoneJobs(worker: SimulatedWorker): void {
     if (worker.unacknowledgedEnds.length === 0) return;
     for (const {event, job, reason} of this.events.splice(0)) {
+      if (event === 'preempted') this.preemptionCount++;
       if (event === 'jobEnded' && reason === 'completed')
         this.jobTimestamps.get(job!)!.doneAtMs ??= this.nowMs;
     }
--- a/src/jobs/planner.ts
+++ b/src/jobs/planner.ts
@@ -203,8 +203,11 @@
     const {nowMs} = pass.input;
     const runMs = pass.expectedRunMs(unit);
     const meetsObjective = nowMs + runMs <= objectiveAtMs(group);
-    if (!meetsObjective)
-      return nowMs + LATE_LIMIT_MARGIN_RUNS * runMs > lateLimitAtMs(group);
+    if (!meetsObjective) {
+      const marginMs = lateLimitAtMs(group) - nowMs;
+      // Work past its late limit has no value that justifies lost work.
+      return marginMs >= runMs && marginMs < LATE_LIMIT_MARGIN_RUNS * runMs;
+    }
     if (unit.isGang) return true;
     const {step} = unit;
     const leftMs = objectiveAtMs(group) - nowMs - pass.pathAfterMs(unit);
--- a/tests/features/job_decisions.feature
+++ b/tests/features/job_decisions.feature
@@ -127,3 +127,10 @@
     Given a planning pass that takes 400 ms, requested every 10 ms
     Then passes take at most a quarter of 64000 ms
     And a pass is due 100 ms after the last one without a request
+
+  # Guards against runs that are stopped for work that can no longer finish in time.
+  Scenario: Work that can't meet its late limit preempts nothing
+    Given 12 workers that are full of batch work for 20000 ms
+    And another batch job of 20000 ms waits for all 12 workers
+    When an urgent job of 1 tasks of 8 accelerators and 1000 ms comes beyond the guarantee
+    Then no run was preempted
