Agent: send no report whose content was reported just before

Each heartbeat of a worker and each change caused a report to the leader, beside the periodic ones to all gates. A heartbeat without a change is now covered by the periodic reports, and any report restarts the interval of its gate. Each gate still gets a report at least every 500 ms, so leases and timeouts are unaffected.

--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -16,9 +16,10 @@
 } from '../protocol/job_messages.js';
 import {GateLinks} from './gate_links.js';
 import {LeaseRenewer, type LeaseTimes} from './lease_renewer.js';
+import {ReportSchedule} from './report_schedule.js';
 import {WorkerDriver} from './worker_driver.js';
 
-/** Interval between reports, in ms. */
+/** Maximum interval between reports to one gate, in ms. */
 const REPORT_INTERVAL_MS = 500;
 const TICK_INTERVAL_MS = 100;
 /** Time without a known leader after which gates are looked up in the store, in ms. */
@@ -59,7 +60,7 @@
   private epoch = 0;
   /** Link address of the leader; undefined if unknown. */
   private leaderAddress: string | undefined;
-  private reportedAtMs = -Infinity;
+  private readonly reportSchedule = new ReportSchedule(REPORT_INTERVAL_MS);
   private isReportPending = false;
   private searchedAtMs: number;
   private isSearching = false;
@@ -106,8 +107,9 @@
     const {driver} = this;
     const isSame = driver?.id === report.id && driver.bornMs === report.bornMs;
     if (driver && !isSame && report.bornMs < driver.bornMs) return false;
-    if (driver && isSame) driver.update(report);
-    else this.startDriver(report);
+    if (!driver || !isSame) this.startDriver(report);
+    // A heartbeat without a change is covered by the periodic reports.
+    else if (!driver.update(report)) return true;
     this.scheduleReport();
     return true;
   }
@@ -169,8 +171,8 @@
     this.loopDelay.recordTick();
     this.links.tick();
     const nowMs = this.ctx.clock.nowMs();
-    if (nowMs - this.reportedAtMs >= REPORT_INTERVAL_MS)
-      this.reportToAll(nowMs);
+    for (const address of this.links.openAddresses)
+      if (this.reportSchedule.isDue(address, nowMs)) this.report(address);
     if (!this.leaderAddress) this.searchGates(nowMs);
     else this.searchedAtMs = nowMs;
     if (this.driver?.takeLeaseExpiry()) {
@@ -182,11 +184,6 @@
     }
   }
 
-  private reportToAll(nowMs: number): void {
-    this.reportedAtMs = nowMs;
-    for (const address of this.links.openAddresses) this.report(address);
-  }
-
   /** Schedules a report to the leader. Changes in the same turn share one report. */
   private scheduleReport(): void {
     if (this.isReportPending) return;
@@ -201,6 +198,7 @@
     if (address === undefined) return;
     const sendTime = readClocks(this.ctx.clock);
     this.reportSendTimes.set(sendTime.nowMs, sendTime);
+    this.reportSchedule.recordSent(address, sendTime.nowMs);
     const isLeader = address === this.leaderAddress;
     const inventory = this.driver?.isReachable
       ? this.driver.inventory()
@@ -261,6 +259,7 @@
   }
 
   private onLinkClosed(address: string): void {
+    this.reportSchedule.forget(address);
     if (this.leaderAddress === address) this.leaderAddress = undefined;
   }
 
--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -1,4 +1,5 @@
 /** Executes orders on one worker incarnation and tracks the runs there. */
+import {isDeepStrictEqual} from 'node:util';
 import {type Clock} from '../core/clock.js';
 import {readClocks} from '../core/clock_reading.js';
 import {
@@ -70,8 +71,11 @@
     void this.poll();
   }
 
-  update(report: WorkerReport): void {
+  /** Applies a heartbeat; returns false if it contains nothing new. */
+  update(report: WorkerReport): boolean {
+    const hasChanged = !isDeepStrictEqual(report, this.report);
     this.report = report;
+    return hasChanged;
   }
 
   get id(): string {
--- /dev/null
+++ b/tests/features/processor_load.feature
@@ -0,0 +1,13 @@
+Feature: Work per event does not grow with the fleet or with the backlog
+
+  Scenario: A report because of a change replaces the next periodic one
+    Given reports to each gate at least every 500 ms
+    When a change is reported to the first of 2 gates after 400 ms
+    Then after 500 ms a report is due to the second gate only
+    And after 900 ms reports are due to both gates
+
+  Scenario: A heartbeat without a change is not reported
+    Given an agent with a worker that was reported
+    Then a heartbeat with the same content contains nothing new
+    But a heartbeat of the draining worker does
+
--- /dev/null
+++ b/tests/steps/processor_load_steps.ts
@@ -0,0 +1,87 @@
+/** Steps that count the operations of frequent events, which must stay few under load. */
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {LeaseRenewer} from '../../src/agent/lease_renewer.js';
+import {ReportSchedule} from '../../src/agent/report_schedule.js';
+import {WorkerDriver} from '../../src/agent/worker_driver.js';
+import {ManualClock} from '../../src/core/clock.js';
+import {type WorkerReport} from '../../src/jobs/worker_pool.js';
+import {EventLog} from '../../src/plugins/event_log.js';
+import {Metrics} from '../../src/plugins/metrics.js';
+import {RunMonitor, StandInTaskWorker} from '../../standins/task_worker.js';
+import {SilentOutput} from '../fixtures/silent_output.js';
+
+const GATES = ['gate-0', 'gate-1'] as const;
+
+let reportSchedule: ReportSchedule;
+let driver: WorkerDriver;
+
+function makeWorkerReport(change: Partial<WorkerReport> = {}): WorkerReport {
+  return {
+    id: 'w-0',
+    bornMs: 1000,
+    service: 'desk',
+    rack: 'r1',
+    labels: ['a', 'r1'],
+    capacity: {cpu: 8000, memoryMb: 8000, accelerators: 8},
+    draining: false,
+    drainRemainingMs: 0,
+    ...change,
+  };
+}
+
+function gatesDueAt(nowMs: number): string[] {
+  return GATES.filter(g => reportSchedule.isDue(g, nowMs));
+}
+
+Given('reports to each gate at least every {int} ms', (intervalMs: number) => {
+  reportSchedule = new ReportSchedule(intervalMs);
+  assert.deepEqual(gatesDueAt(0), GATES);
+  for (const gate of GATES) reportSchedule.recordSent(gate, 0);
+});
+
+When(
+  'a change is reported to the first of 2 gates after {int} ms',
+  (nowMs: number) => {
+    assert.deepEqual(gatesDueAt(nowMs), []);
+    reportSchedule.recordSent(GATES[0], nowMs);
+  },
+);
+
+// Guards against reports to the leader whose content was sent just before.
+Then(
+  'after {int} ms a report is due to the second gate only',
+  (nowMs: number) => assert.deepEqual(gatesDueAt(nowMs), [GATES[1]]),
+);
+
+Then('after {int} ms reports are due to both gates', (nowMs: number) =>
+  assert.deepEqual(gatesDueAt(nowMs), GATES),
+);
+
+Given('an agent with a worker that was reported', () => {
+  const clock = new ManualClock();
+  const log = new EventLog('agent', clock, new SilentOutput());
+  const worker = new StandInTaskWorker(clock, new RunMonitor(), 'w-0', 1000, 0);
+  driver = new WorkerDriver('agent-0', makeWorkerReport(), {
+    worker,
+    clock,
+    log: log.forComponent('worker'),
+    metrics: new Metrics(),
+    lease: new LeaseRenewer({leaseMs: 1500, isolationMs: 2500}),
+    epoch: () => 0,
+    onStatusChange: () => undefined,
+    onOtherIncarnation: () => undefined,
+  });
+  driver.close();
+  worker.dispose();
+});
+
+// Guards against one report per heartbeat, beside the periodic ones.
+Then('a heartbeat with the same content contains nothing new', () =>
+  assert.equal(driver.update(makeWorkerReport()), false),
+);
+
+Then('a heartbeat of the draining worker does', () => {
+  const report = makeWorkerReport({draining: true, drainRemainingMs: 2000});
+  assert.equal(driver.update(report), true);
+});
