Logs: write the lines of 50 ms with one system call

Each log line caused an asynchronous write of its own: a task for the thread pool and a wake-up, which cost more than formatting the line. Lines are now collected for 50 ms, or until a quarter of the buffer is filled. Queued lines are written when the process exits. A line that follows a partial write no longer overtakes the rest of that write.

--- a/src/plugins/event_log.ts
+++ b/src/plugins/event_log.ts
@@ -51,6 +51,11 @@
     };
   }
 
+  /** Writes the lines that are still queued. Called when the process exits. */
+  flushSync(): void {
+    this.output.flushSync();
+  }
+
   private write(level: string, fields: object): void {
     if (!this.bucket.tryTake(this.clock.nowMs())) {
       this.rateLimitedLines++;
--- a/src/plugins/line_output.ts
+++ b/src/plugins/line_output.ts
@@ -1,8 +1,15 @@
-/** Non-blocking writer of lines to standard output, with a bounded buffer. */
-import {write} from 'node:fs';
+/**
+ * Non-blocking writer of lines to standard output, with a bounded buffer. Lines of a short
+ * interval share one write, since a system call costs more than formatting a line.
+ */
+import {write, writeSync} from 'node:fs';
 
 /** Size of the buffer. Lines that exceed it are dropped and counted. */
 const MAX_QUEUED_BYTES = 256 * 1024; // 0.1 % of the memory of the smallest instance
+/** Queued bytes that are written without waiting for the interval to end. */
+const EARLY_WRITE_BYTES = MAX_QUEUED_BYTES / 4;
+/** Interval in which lines are collected, in ms. */
+const WRITE_INTERVAL_MS = 50;
 const STDOUT = 1;
 
 export class LineOutput {
@@ -10,8 +17,12 @@
   private queuedBytes = 0;
   private isWriting = false;
   private droppedCount = 0;
+  private timer: NodeJS.Timeout | undefined;
 
-  constructor(private readonly fd = STDOUT) {}
+  constructor(
+    private readonly fd = STDOUT,
+    private readonly writeBytes: typeof write = write,
+  ) {}
 
   /** Queues a line, or drops it if the buffer is full. */
   add(line: string): void {
@@ -21,7 +32,9 @@
     }
     this.queue.push(line);
     this.queuedBytes += line.length;
-    if (!this.isWriting) this.flush();
+    if (this.isWriting) return;
+    if (this.queuedBytes >= EARLY_WRITE_BYTES) this.flush();
+    else this.timer ??= setTimeout(() => this.flush(), WRITE_INTERVAL_MS);
   }
 
   /** Returns the number of lines dropped since the last call. */
@@ -31,23 +44,40 @@
     return droppedCount;
   }
 
+  /** Writes the queued lines before the process exits. Lines may be lost on a full pipe. */
+  flushSync(): void {
+    try {
+      writeSync(this.fd, this.takeQueued());
+    } catch {
+      // Nothing else can report the failure while the process exits.
+    }
+  }
+
   private flush(): void {
-    if (this.queue.length === 0) return;
-    const bytes = Buffer.from(this.queue.join('\n') + '\n');
+    clearTimeout(this.timer);
+    this.timer = undefined;
+    if (this.queue.length > 0) this.writeAll(this.takeQueued());
+  }
+
+  private takeQueued(): Buffer {
+    const text = this.queue.map(line => `${line}\n`).join('');
     this.queue = [];
     this.queuedBytes = 0;
-    this.writeAll(bytes);
+    return Buffer.from(text);
   }
 
   private writeAll(bytes: Buffer): void {
     this.isWriting = true;
-    write(this.fd, bytes, (err, written) => {
+    this.writeBytes(this.fd, bytes, (err, written) => {
+      const isFull = (err as NodeJS.ErrnoException | null)?.code === 'EAGAIN';
+      const rest = bytes.subarray(err ? 0 : written);
+      if (rest.length > 0 && (!err || isFull)) {
+        setTimeout(() => this.writeAll(rest), RETRY_MS);
+        return;
+      }
       this.isWriting = false;
       // After other errors nothing reads the output, so the error cannot be reported.
-      if (err && (err as NodeJS.ErrnoException).code !== 'EAGAIN') return;
-      const rest = bytes.subarray(err ? 0 : written);
-      if (rest.length > 0) setTimeout(() => this.writeAll(rest), RETRY_MS);
-      else this.flush();
+      if (!err) this.flush();
     });
   }
 }
--- a/tests/features/processor_load.feature
+++ b/tests/features/processor_load.feature
@@ -11,3 +11,12 @@
     Then a heartbeat with the same content contains nothing new
     But a heartbeat of the draining worker does
 
+  Scenario: Log lines of a short interval share one write
+    Given an output of log lines
+    When 100 lines are added
+    Then they are written in order by 1 write
+
+  Scenario: Log lines that are still queued are written when the process exits
+    Given an output of log lines
+    When 3 lines are added and the process exits
+    Then they are in the output
--- a/tests/steps/processor_load_steps.ts
+++ b/tests/steps/processor_load_steps.ts
@@ -1,5 +1,15 @@
 /** Steps that count the operations of frequent events, which must stay few under load. */
 import assert from 'node:assert/strict';
+import {
+  closeSync,
+  mkdtempSync,
+  openSync,
+  readFileSync,
+  rmSync,
+  type write,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {LeaseRenewer} from '../../src/agent/lease_renewer.js';
 import {ReportSchedule} from '../../src/agent/report_schedule.js';
@@ -7,6 +17,7 @@
 import {ManualClock} from '../../src/core/clock.js';
 import {type WorkerReport} from '../../src/jobs/worker_pool.js';
 import {EventLog} from '../../src/plugins/event_log.js';
+import {LineOutput} from '../../src/plugins/line_output.js';
 import {Metrics} from '../../src/plugins/metrics.js';
 import {RunMonitor, StandInTaskWorker} from '../../standins/task_worker.js';
 import {SilentOutput} from '../fixtures/silent_output.js';
@@ -85,3 +96,57 @@
   const report = makeWorkerReport({draining: true, drainRemainingMs: 2000});
   assert.equal(driver.update(report), true);
 });
+
+let lineOutput: LineOutput;
+let writes: string[] = [];
+let firstWrite: Promise<void>;
+
+Given('an output of log lines', () => {
+  writes = [];
+  firstWrite = new Promise(resolve => {
+    const recordWrite = (
+      fd: number,
+      bytes: Buffer,
+      done: (err: null, written: number) => void,
+    ): void => {
+      writes.push(bytes.toString());
+      done(null, bytes.length);
+      resolve();
+    };
+    lineOutput = new LineOutput(1, recordWrite as typeof write);
+  });
+});
+
+When('{int} lines are added', (count: number) => {
+  for (let i = 0; i < count; i++) lineOutput.add(`line ${i}`);
+});
+
+// Guards against a system call for each line.
+Then(
+  'they are written in order by {int} write',
+  async (expectedWrites: number) => {
+    await firstWrite;
+    const lines = Array.from({length: 100}, (unused, i) => `line ${i}\n`);
+    assert.equal(writes.length, expectedWrites);
+    assert.equal(writes.join(''), lines.join(''));
+  },
+);
+
+let exitOutput = '';
+
+When('{int} lines are added and the process exits', (count: number) => {
+  const folder = mkdtempSync(join(tmpdir(), 'lines-'));
+  const file = join(folder, 'log');
+  const fd = openSync(file, 'w');
+  const output = new LineOutput(fd);
+  for (let i = 0; i < count; i++) output.add(`line ${i}`);
+  output.flushSync();
+  closeSync(fd);
+  exitOutput = readFileSync(file, 'utf8');
+  rmSync(folder, {recursive: true});
+});
+
+// Guards against the loss of the last lines, which explain why a process ended.
+Then('they are in the output', () =>
+  assert.equal(exitOutput, 'line 0\nline 1\nline 2\n'),
+);
