Engine: find the other incarnations of a worker in an index by agent

Each report of an agent built a set of all known workers and filtered it by agent, to find older incarnations. The keys are now indexed by agent. No decision changes.

--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -46,6 +46,7 @@
 import {
   WorkerPool,
   TrackedWorker,
+  WorkerKeyIndex,
   agentOf,
   bornMsOf,
   workerKey,
@@ -106,6 +107,8 @@
   private readonly waiting = new Set<Unit>();
   private readonly placed = new Set<Unit>();
   private readonly placedByWorker = new Map<string, Set<TrackedTask>>();
+  /** Workers that were reported, and workers on which runs are recorded. */
+  private readonly knownWorkers = new WorkerKeyIndex();
   private readonly pool = new WorkerPool();
   private readonly lastContactMs = new Map<string, number>();
   private readonly planner = new Planner();
@@ -261,6 +264,7 @@
       this.endPlacement(task, nowMs);
     }
     this.placedByWorker.delete(key);
+    this.knownWorkers.remove(key);
   }
 
   /** Opens due occurrences, drops unresponsive workers and places waiting units. */
@@ -459,6 +463,7 @@
     if (found) return found;
     const trackedWorker = new TrackedWorker(agent, key, inventory.worker);
     this.pool.add(trackedWorker);
+    this.knownWorkers.add(key);
     for (const task of this.tasksPlacedOn(key))
       this.allocate(trackedWorker, task);
     for (const run of inventory.runs) {
@@ -481,9 +486,7 @@
     bornMs: number,
     nowMs: number,
   ): boolean {
-    const others = [...this.knownWorkers()].filter(
-      k => k !== key && agentOf(k) === agent,
-    );
+    const others = [...this.knownWorkers.ofAgent(agent)].filter(k => k !== key);
     if (others.some(k => bornMsOf(k) > bornMs)) return false;
     for (const other of others)
       this.markWorkerLost(
@@ -494,16 +497,8 @@
     return true;
   }
 
-  /** Workers that were reported, and workers on which runs are recorded. */
-  private knownWorkers(): Set<string> {
-    return new Set([
-      ...this.pool.workers.keys(),
-      ...this.placedByWorker.keys(),
-    ]);
-  }
-
   private markUnresponsiveWorkersLost(nowMs: number): void {
-    for (const key of this.knownWorkers()) {
+    for (const key of this.knownWorkers.all()) {
       const lastContactMs = this.lastContactMs.get(agentOf(key)) ?? nowMs;
       if (nowMs - lastContactMs > this.options.contactTimeoutMs)
         this.markWorkerLost(
@@ -780,6 +775,7 @@
   }
 
   private tasksPlacedOn(key: string): Set<TrackedTask> {
+    this.knownWorkers.add(key);
     return getOrAdd(this.placedByWorker, key, () => new Set<TrackedTask>());
   }
 
--- a/src/jobs/worker_pool.ts
+++ b/src/jobs/worker_pool.ts
@@ -1,4 +1,5 @@
 /** The workers known to the leader, with the free capacity of each. */
+import {getOrAdd} from '../core/fair_queue.js';
 import {
   type Resources,
   addResources,
@@ -121,3 +122,29 @@
     return [...this.workers.values()].filter(w => w.report.service === service);
   }
 }
+
+/** Keys of worker incarnations, with those of each agent. */
+export class WorkerKeyIndex {
+  private readonly keysByAgent = new Map<string, Set<string>>();
+
+  add(key: string): void {
+    getOrAdd(this.keysByAgent, agentOf(key), () => new Set<string>()).add(key);
+  }
+
+  remove(key: string): void {
+    const agent = agentOf(key);
+    const keys = this.keysByAgent.get(agent);
+    keys?.delete(key);
+    if (keys?.size === 0) this.keysByAgent.delete(agent);
+  }
+
+  ofAgent(agent: string): ReadonlySet<string> {
+    return this.keysByAgent.get(agent) ?? NO_KEYS;
+  }
+
+  all(): string[] {
+    return [...this.keysByAgent.values()].flatMap(keys => [...keys]);
+  }
+}
+
+const NO_KEYS: ReadonlySet<string> = new Set();
--- a/tests/features/processor_load.feature
+++ b/tests/features/processor_load.feature
@@ -20,3 +20,6 @@
     Given an output of log lines
     When 3 lines are added and the process exits
     Then they are in the output
+
+  Scenario: An inventory takes the same number of operations in a fleet of any size
+    Then the inventory of one of 200 workers visits as many entries as that of one of 10
--- a/tests/steps/processor_load_steps.ts
+++ b/tests/steps/processor_load_steps.ts
@@ -15,11 +15,14 @@
 import {ReportSchedule} from '../../src/agent/report_schedule.js';
 import {WorkerDriver} from '../../src/agent/worker_driver.js';
 import {ManualClock} from '../../src/core/clock.js';
+import {JobEngine} from '../../src/jobs/job_engine.js';
 import {type WorkerReport} from '../../src/jobs/worker_pool.js';
 import {EventLog} from '../../src/plugins/event_log.js';
 import {LineOutput} from '../../src/plugins/line_output.js';
 import {Metrics} from '../../src/plugins/metrics.js';
 import {RunMonitor, StandInTaskWorker} from '../../standins/task_worker.js';
+import {TEST_TABLES} from '../fixtures/job_cluster.js';
+import {countVisitedEntries} from '../fixtures/operation_counter.js';
 import {SilentOutput} from '../fixtures/silent_output.js';
 
 const GATES = ['gate-0', 'gate-1'] as const;
@@ -150,3 +153,30 @@
 Then('they are in the output', () =>
   assert.equal(exitOutput, 'line 0\nline 1\nline 2\n'),
 );
+
+function makeEngine(): JobEngine {
+  return new JobEngine(TEST_TABLES, {
+    contactTimeoutMs: 1000,
+    endedJobRetentionMs: 60_000,
+    onEvent: () => undefined,
+  });
+}
+
+function countInventoryVisits(workers: number): number {
+  const engine = makeEngine();
+  const report = (i: number): void =>
+    engine.recordInventory(
+      `agent-${i}`,
+      {worker: makeWorkerReport({id: `w-${i}`}), runs: [], ends: []},
+      0,
+    );
+  for (let i = 0; i < workers; i++) report(i);
+  return countVisitedEntries(() => report(0));
+}
+
+// Guards against collections of all workers that are built for each report.
+Then(
+  'the inventory of one of {int} workers visits as many entries as that of one of {int}',
+  (large: number, small: number) =>
+    assert.equal(countInventoryVisits(large), countInventoryVisits(small)),
+);
