--- a/harness/caller.ts
+++ b/harness/caller.ts
@@ -22,6 +22,7 @@
   /** Outcome reported by the gate; `NO_RESPONSE` if no gate responded. */
   readonly outcome: string;
   readonly id: string | undefined;
+  /** Body of the response; the error if no gate responded. */
   readonly body: string;
 }
 
@@ -100,7 +101,9 @@
       id: location?.split('/').pop(),
       body: text,
     };
-  } catch {
-    return {status: 0, outcome: NO_RESPONSE, id: undefined, body: ''};
+  } catch (err) {
+    const {code, message} = err as Error & {code?: string};
+    const reason = code === undefined ? message : `${code}: ${message}`;
+    return {status: 0, outcome: NO_RESPONSE, id: undefined, body: reason};
   }
 }
