A stopping gate serves callers until they have moved on

Cause: the gate closed as soon as one check, every 50 ms, found no open call. Between two requests of callers that have not learned yet that it stops, that is so by chance. From then on the listener was gone, connections that the kernel had accepted were reset, idle connections were destroyed with requests on their way, and Fastify answered what still came in by itself.

HttpDrain counts requests from their headers on, and the gate closes once no caller's request has arrived for a second. Probes and operators' calls do not count, as they go on. It looks after the data that had arrived was read, since timers run first after a blocked event loop. What comes in while it closes is handled by the gate itself.

The new scenario fails before this change: "connect ECONNREFUSED" or "request 47 had no response".

--- a/src/daemons/caller_api.ts
+++ b/src/daemons/caller_api.ts
@@ -15,6 +15,8 @@
 import {type RequestService} from './request_service.js';
 import {TokenTable, bearerToken} from './tokens.js';
 
+/** Prefix of the paths for callers. */
+const REQUESTS_PATH = '/v1/requests';
 const OUTCOME_HEADER = 'x-lagoonshunt-outcome';
 const DEFAULT_RETRY_AFTER_S = 1;
 /** Longest time that one HTTP call may wait for the outcome of a request, in ms. */
@@ -43,14 +45,14 @@
 
   register(http: FastifyInstance): void {
     http.post<{Params: KindParams; Querystring: WaitQuery}>(
-      '/v1/requests/:kind',
+      `${REQUESTS_PATH}/:kind`,
       (req, res) => this.submit(req, res),
     );
     http.get<{Params: IdParams; Querystring: WaitQuery}>(
-      '/v1/requests/:id',
+      `${REQUESTS_PATH}/:id`,
       (req, res) => this.read(req, res),
     );
-    http.delete<{Params: IdParams}>('/v1/requests/:id', (req, res) =>
+    http.delete<{Params: IdParams}>(`${REQUESTS_PATH}/:id`, (req, res) =>
       this.cancel(req, res),
     );
   }
@@ -132,6 +134,10 @@
   }
 }
 
+export function isCallerRequest(req: FastifyRequest): boolean {
+  return req.url.startsWith(REQUESTS_PATH);
+}
+
 /** Header that marks a call forwarded by another gate. */
 export const FORWARDED_HEADER = 'x-lagoonshunt-forwarded';
 
--- a/src/daemons/gate_daemon.ts
+++ b/src/daemons/gate_daemon.ts
@@ -1,6 +1,6 @@
 /** The gate: the process that callers and operators send their requests to. */
 import {type AddressInfo} from 'node:net';
-import {fastify, type FastifyInstance, type FastifyRequest} from 'fastify';
+import {fastify, type FastifyInstance} from 'fastify';
 import {type Kernel} from '../core/kernel.js';
 import {type ProcessRef} from '../core/ids.js';
 import {type TimelineEvent, mergeTimelines} from '../core/timeline.js';
@@ -8,12 +8,13 @@
 import {type GateAddress} from '../protocol/messages.js';
 import {type GateSettings} from '../protocol/settings.js';
 import {rejectLargeBodies} from './body_limit.js';
-import {CallerApi} from './caller_api.js';
+import {CallerApi, isCallerRequest} from './caller_api.js';
 import {ConfigTask} from './config_task.js';
 import {type Daemon, type DaemonAddresses} from './daemon.js';
 import {GangService} from './gang_service.js';
 import {type GateSend} from './gate_events.js';
 import {GateLinks} from './gate_links.js';
+import {HttpDrain} from './http_drain.js';
 import {installErrorHandlers} from './http_errors.js';
 import {MembershipTask} from './membership_task.js';
 import {OperatorApi} from './operator_api.js';
@@ -32,6 +33,8 @@
  * rejects requests, in ms.
  */
 const NOT_READY_DELAY_MS = 300;
+/** Time without a caller's request after which a stopping gate closes, in ms. */
+const QUIET_PERIOD_MS = 1000;
 const MAX_HEADER_BYTES = 16 * 1024;
 
 export class GateDaemon implements Daemon {
@@ -46,10 +49,10 @@
   private readonly requests: RequestService;
   private readonly timelineCollector: TimelineCollector;
   private readonly http: FastifyInstance;
+  private readonly httpDrain: HttpDrain;
   private readonly startedWallMs: number;
   private httpPort = 0;
   private linkPort = 0;
-  private readonly openHttpCalls = new Set<FastifyRequest>();
   private isStopping = false;
   private ticker: NodeJS.Timeout | undefined;
 
@@ -105,8 +108,9 @@
     this.http = fastify({
       bodyLimit: settings.limits.bodyBytes,
       http: {maxHeaderSize: MAX_HEADER_BYTES},
-      forceCloseConnections: 'idle',
+      return503OnClosing: false,
     });
+    this.httpDrain = new HttpDrain(this.http, this.ctx.clock, isCallerRequest);
   }
 
   async start(): Promise<DaemonAddresses> {
@@ -126,28 +130,30 @@
   }
 
   /**
-   * Reports not ready, releases its pools, waits up to `stopGraceMs` for requests in
-   * flight, then closes.
+   * Reports not ready, releases its pools, waits up to `stopGraceMs` until requests in
+   * flight are answered and no more arrive, then closes.
    */
   async stop(): Promise<void> {
     this.isStopping = true;
+    this.httpDrain.start();
     this.ctx.timeline.add('gate', 'graceful stop');
     await sleep(NOT_READY_DELAY_MS);
     await this.membership.markStopped();
     await this.pools.release();
     const stopDeadlineMs =
       this.ctx.clock.nowMs() + this.settings.times.stopGraceMs;
-    while (!this.isIdle() && this.ctx.clock.nowMs() < stopDeadlineMs)
+    while (!(await this.isIdle()) && this.ctx.clock.nowMs() < stopDeadlineMs)
       await sleep(DRAIN_POLL_INTERVAL_MS);
     this.requests.drain();
-    await this.http.close();
+    await this.httpDrain.close();
     clearInterval(this.ticker);
     this.links.close();
     await this.tables.close();
   }
 
-  private isIdle(): boolean {
-    return this.openHttpCalls.size === 0 && this.router.pendingCount === 0;
+  private async isIdle(): Promise<boolean> {
+    const isQuiet = await this.httpDrain.isQuiet(QUIET_PERIOD_MS);
+    return isQuiet && this.router.pendingCount === 0;
   }
 
   private registerHttp(): void {
@@ -158,16 +164,6 @@
       {parseAs: 'buffer'},
       (req, body, done) => done(null, body),
     );
-    this.http.addHook('onRequest', async (req, res) => {
-      this.openHttpCalls.add(req);
-      if (this.isStopping) res.header('connection', 'close');
-    });
-    this.http.addHook('onResponse', async req => {
-      this.openHttpCalls.delete(req);
-    });
-    this.http.addHook('onRequestAbort', async req => {
-      this.openHttpCalls.delete(req);
-    });
     rejectLargeBodies(this.http, this.settings.limits.bodyBytes);
     new CallerApi(this.settings, this.requests).register(this.http);
     new OperatorApi(this.settings, this.config, {
--- /dev/null
+++ b/tests/features/graceful_stop.feature
@@ -0,0 +1,9 @@
+Feature: A process that stops gracefully answers the requests that it has received
+
+  # Guards against: a gate stopped listening in a short gap between two requests.
+  Scenario: A caller that does not know yet that the gate stops gets answers
+    Given a system of 1 gates and 0 instances
+    When a caller sends requests on new connections for 3 seconds
+    And gate 1 is shut down
+    Then every request was answered
+    And the process exited with code 0
--- /dev/null
+++ b/tests/steps/graceful_stop_steps.ts
@@ -0,0 +1,58 @@
+/** Steps of the scenarios about the graceful stop of gates and agents. */
+import assert from 'node:assert/strict';
+import {Then, When} from '@cucumber/cucumber';
+import {type ManagedProcess} from '../../harness/managed_process.js';
+import {RawHttpConnection} from '../fixtures/raw_http_connection.js';
+import {type SystemWorld} from '../fixtures/system_world.js';
+
+function findProcess(
+  world: SystemWorld,
+  role: string,
+  number: string,
+): ManagedProcess {
+  const {gates, instances} = world.cluster;
+  const index = Number(number) - 1;
+  return role === 'gate' ? gates[index] : instances[index].agent;
+}
+
+When(
+  'a caller sends requests on new connections for {int} seconds',
+  function (this: SystemWorld, seconds: number) {
+    this.pending.push(sendOnNewConnections(this, seconds * 1000));
+  },
+);
+
+async function sendOnNewConnections(
+  world: SystemWorld,
+  durationMs: number,
+): Promise<void> {
+  const [gate] = world.cluster.gates;
+  const endMs = performance.now() + durationMs;
+  let count = 0;
+  while (performance.now() < endMs) {
+    const connection = await RawHttpConnection.open(gate.httpUrl);
+    connection.write('GET /v1/requests/none HTTP/1.1\r\nhost: gate\r\n\r\n');
+    const response = await connection.readResponse();
+    connection.close();
+    assert.ok(response, `request ${count} had no response`);
+    count++;
+  }
+  world.recordedValues.set('answers', count);
+}
+
+When(
+  /^(gate|agent) (\d+) is shut down$/,
+  async function (this: SystemWorld, role: string, number: string) {
+    const code = await findProcess(this, role, number).stop();
+    this.recordedValues.set('code', code ?? -1);
+  },
+);
+
+Then('every request was answered', async function (this: SystemWorld) {
+  await this.awaitPending();
+  assert.ok(this.recordedValues.get('answers')! > 0);
+});
+
+Then('the process exited with code 0', function (this: SystemWorld) {
+  assert.equal(this.recordedValues.get('code'), 0);
+});
