A connection without a request does not keep a process from exiting

Operators saw: a gate or agent that was told to stop never exited and had to be killed, which cuts off whatever it still does.

Cause: http.close() waits for each connection that isn't idle. Node counts a connection on which nothing was sent yet as active, and stops its own checks of such connections once the server closes. A load balancer or client that opens connections ahead of use was enough.

HttpDrain closes what is left once all requests that were read are answered. The agent's server uses it too.

--- a/src/daemons/agent_daemon.ts
+++ b/src/daemons/agent_daemon.ts
@@ -11,6 +11,7 @@
 import {type Daemon, type DaemonAddresses} from './daemon.js';
 import {ExecutorTask} from './executor_task.js';
 import {GangTask} from './gang_task.js';
+import {HttpDrain} from './http_drain.js';
 import {installErrorHandlers} from './http_errors.js';
 import {type ProcessContext, makeProcessContext} from './process_context.js';
 import {TimelineTask} from './timeline_task.js';
@@ -34,7 +35,10 @@
   private readonly config: AgentConfigTask;
   private readonly executor: ExecutorTask;
   private readonly gangs: GangTask;
-  private readonly http: FastifyInstance = fastify();
+  private readonly http: FastifyInstance = fastify({
+    return503OnClosing: false,
+  });
+  private readonly httpDrain: HttpDrain;
   private ticker: NodeJS.Timeout | undefined;
 
   constructor(
@@ -42,6 +46,7 @@
     kernel: Kernel,
   ) {
     this.ctx = makeProcessContext(settings);
+    this.httpDrain = new HttpDrain(this.http, this.ctx.clock);
     const send = {post: (message: AgentSend) => this.links.post(message)};
     this.config = new AgentConfigTask(this.ctx, send);
     this.executor = new ExecutorTask(this.ctx, kernel, settings, send);
@@ -94,7 +99,7 @@
     this.links.close();
     await this.executor.close();
     await this.gangs.close();
-    await this.http.close();
+    await this.httpDrain.close();
   }
 
   private isIdle(): boolean {
--- a/src/daemons/http_drain.ts
+++ b/src/daemons/http_drain.ts
@@ -2,7 +2,9 @@
 import {type Server} from 'node:http';
 import {type FastifyInstance, type FastifyRequest} from 'fastify';
 import {type Clock} from '../core/clock.js';
+import {sleep} from '../plugins/sleep.js';
 
+const POLL_INTERVAL_MS = 50;
 /**
  * Turns of the event loop after which all data that had arrived has been read: one that
  * may be under way, one that accepts connections, and one that reads from them.
@@ -56,10 +58,18 @@
     );
   }
 
-  /** Stops listening, and closes each connection once its requests are answered. */
-  async close(): Promise<void> {
+  /**
+   * Stops listening, and closes each connection once its requests are answered, or at the
+   * deadline.
+   */
+  async close(deadlineMs = Infinity): Promise<void> {
     this.start();
-    await this.http.close();
+    const closed = this.http.close();
+    while (!(await this.isQuiet(0)) && this.clock.nowMs() < deadlineMs)
+      await sleep(POLL_INTERVAL_MS);
+    // A connection on which no request was sent would stay open without limit.
+    this.http.server.closeAllConnections();
+    await closed;
   }
 }
 
--- a/tests/features/graceful_stop.feature
+++ b/tests/features/graceful_stop.feature
@@ -7,3 +7,15 @@
     And gate 1 is shut down
     Then every request was answered
     And the process exited with code 0
+
+  # Guards against: a connection without a request kept the process from exiting.
+  Scenario Outline: A connection on which no request was sent does not delay an exit
+    Given a system of 1 gates and 1 instances
+    When a client opens a connection to <process> 1 and sends nothing
+    And <process> 1 is shut down
+    Then the process exited with code 0
+
+    Examples:
+      | process |
+      | gate    |
+      | agent   |
--- a/tests/steps/graceful_stop_steps.ts
+++ b/tests/steps/graceful_stop_steps.ts
@@ -40,6 +40,13 @@
   world.recordedValues.set('answers', count);
 }
 
+When(
+  /^a client opens a connection to (gate|agent) (\d+) and sends nothing$/,
+  async function (this: SystemWorld, role: string, number: string) {
+    await RawHttpConnection.open(findProcess(this, role, number).httpUrl);
+  },
+);
+
 When(
   /^(gate|agent) (\d+) is shut down$/,
   async function (this: SystemWorld, role: string, number: string) {
