A repeated signal does not end a stopping gate early

Callers saw: no answer to requests in flight when a gate or agent was told twice to stop, as in overlapping restarts.

Cause: the handler was installed with process.once, so the second SIGTERM had its default effect and ended the process at once; SIGTERM and SIGINT together started two stops.

Handlers stay installed, and all signals share one stop. SIGKILL still ends a process at once.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -110,8 +110,13 @@
   const daemon = makeDaemon(settings);
   const addresses = await daemon.start();
   console.log(JSON.stringify({ready: settings.id, ...addresses}));
+  let stopping: Promise<void> | undefined;
+  // Handlers remain installed: a repeated signal must not end the process before its
+  // requests are answered.
   for (const signal of ['SIGTERM', 'SIGINT'] as const)
-    process.once(signal, () => void daemon.stop().then(() => process.exit(0)));
+    process.on(signal, () => {
+      stopping ??= daemon.stop().then(() => process.exit(0));
+    });
 }
 
 try {
--- a/tests/features/graceful_stop.feature
+++ b/tests/features/graceful_stop.feature
@@ -19,3 +19,11 @@
       | process |
       | gate    |
       | agent   |
+
+  # Guards against: a repeated signal ended the gate before its requests were answered.
+  Scenario: A gate that is told to stop twice answers its requests
+    Given a system of 1 gates and 1 instances
+    When a pitch check is running
+    And gate 1 is shut down by SIGTERM, SIGTERM, SIGINT
+    Then the process exited with code 0
+    And the first caller receives "done" with its own answer
--- a/tests/steps/graceful_stop_steps.ts
+++ b/tests/steps/graceful_stop_steps.ts
@@ -2,9 +2,13 @@
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
 import {type ManagedProcess} from '../../harness/managed_process.js';
+import {sleep} from '../../harness/wait.js';
 import {RawHttpConnection} from '../fixtures/raw_http_connection.js';
 import {type SystemWorld} from '../fixtures/system_world.js';
 
+/** Time between two signals, longer than the process takes to handle one, in ms. */
+const SIGNAL_INTERVAL_MS = 100;
+
 function findProcess(
   world: SystemWorld,
   role: string,
@@ -55,6 +59,18 @@
   },
 );
 
+When(
+  /^gate (\d+) is shut down by (SIG.*)$/,
+  async function (this: SystemWorld, gate: string, signals: string) {
+    const stopped = findProcess(this, 'gate', gate);
+    for (const signal of signals.split(', ')) {
+      stopped.signal(signal as NodeJS.Signals);
+      await sleep(SIGNAL_INTERVAL_MS);
+    }
+    this.recordedValues.set('code', (await stopped.exited) ?? -1);
+  },
+);
+
 Then('every request was answered', async function (this: SystemWorld) {
   await this.awaitPending();
   assert.ok(this.recordedValues.get('answers')! > 0);
