--- a/tests/features/graceful_stop.feature
+++ b/tests/features/graceful_stop.feature
@@ -27,3 +27,13 @@
     And gate 1 is shut down by SIGTERM, SIGTERM, SIGINT
     Then the process exited with code 0
     And the first caller receives "done" with its own answer
+
+  # Guards against: a request that an agent had not read as it stopped ended as unknown.
+  Scenario: A fit that is sent to an agent as it stops runs on the agent that follows
+    Given a system of 1 gates and 1 instances
+    When gate 1 is paused
+    And a fit is sent on an open connection of gate 1
+    And agent 1 is shut down
+    And gate 1 is resumed
+    And agent 1 is started again
+    Then the fit has the response status 200
--- a/tests/steps/graceful_stop_steps.ts
+++ b/tests/steps/graceful_stop_steps.ts
@@ -9,6 +9,8 @@
 /** Time between two signals, longer than the process takes to handle one, in ms. */
 const SIGNAL_INTERVAL_MS = 100;
 
+let connection: RawHttpConnection;
+
 function findProcess(
   world: SystemWorld,
   role: string,
@@ -51,6 +53,57 @@
   },
 );
 
+When('gate {int} is paused', async function (this: SystemWorld, gate: number) {
+  const paused = this.cluster.gates[gate - 1];
+  connection = await RawHttpConnection.open(paused.httpUrl);
+  connection.write('GET /healthz HTTP/1.1\r\nhost: gate\r\n\r\n');
+  assert.equal((await connection.readResponse())?.status, 200);
+  paused.signal('SIGSTOP');
+});
+
+When(
+  'a fit is sent on an open connection of gate {int}',
+  function (this: SystemWorld, gate: number) {
+    assert.ok(this.cluster.gates[gate - 1].isRunning);
+    const body = JSON.stringify({id: 'the-fit', runMs: 50});
+    connection.write(
+      [
+        'POST /v1/requests/chime-fit HTTP/1.1',
+        'host: gate',
+        `authorization: Bearer ${this.token}`,
+        'content-type: application/json',
+        `content-length: ${body.length}`,
+        '',
+        body,
+      ].join('\r\n'),
+    );
+  },
+);
+
+When('gate {int} is resumed', async function (this: SystemWorld, gate: number) {
+  this.cluster.gates[gate - 1].signal('SIGCONT');
+  await sleep(SIGNAL_INTERVAL_MS);
+});
+
+When(
+  'agent {int} is started again',
+  async function (this: SystemWorld, agent: number) {
+    const instance = this.cluster.instances[agent - 1];
+    const port = Number(new URL(instance.agent.httpUrl).port);
+    instance.agent = await this.cluster.startAgent(
+      agent - 1,
+      instance.worker,
+      port,
+    );
+  },
+);
+
+Then('the fit has the response status {int}', async (status: number) => {
+  const response = await connection.readResponse();
+  connection.close();
+  assert.equal(response?.status, status, response?.head);
+});
+
 When(
   /^(gate|agent) (\d+) is shut down$/,
   async function (this: SystemWorld, role: string, number: string) {
