Bound the rest after a planning pass

What callers saw: guaranteed work that began late, as a leader that was suspended or throttled in a planning pass placed nothing for three times as long after it. Cause: the rest after a pass is a multiple of its duration by the clock, without a limit, and that includes time in which the process did not run. A pass of 5,000 ms was followed by 15,000 ms without a pass, also in a later term of the same process, as the schedule outlives the term.

'A process that is suspended in a planning pass plans soon after it' failed before: 15,000 ms.

--- a/src/jobs/planning_schedule.ts
+++ b/src/jobs/planning_schedule.ts
@@ -8,6 +8,11 @@
 
 /** Largest share of the time that planning takes. */
 const MAX_PLANNING_SHARE = 0.25;
+/**
+ * Longest rest after a pass, in ms. The time of a pass includes any time in which the
+ * process was suspended, and guaranteed work must begin soon afterwards.
+ */
+const MAX_REST_MS = 1200; // guaranteed work must begin in 2.7 s; stops take 0.6 s
 /** Longest time between passes, since holds and delays expire without a change, in ms. */
 const MAX_PASS_INTERVAL_MS = 100;
 
@@ -34,6 +39,7 @@
     const restShare = (1 - MAX_PLANNING_SHARE) / MAX_PLANNING_SHARE;
     this.isRequested = false;
     this.lastPassEndMs = endMs;
-    this.nextPassMs = endMs + (endMs - startMs) * restShare;
+    const restMs = Math.min(MAX_REST_MS, (endMs - startMs) * restShare);
+    this.nextPassMs = endMs + restMs;
   }
 }
--- a/tests/features/job_decisions.feature
+++ b/tests/features/job_decisions.feature
@@ -128,6 +128,11 @@
     Then passes take at most a quarter of 64000 ms
     And a pass is due 100 ms after the last one without a request
 
+  # Guards against guaranteed work that waits since a suspended pass seemed to be a long one.
+  Scenario: A process that is suspended in a planning pass plans soon after it
+    Given a planning pass that takes 5000 ms, requested every 10 ms
+    Then the next pass is due at most 1200 ms after it
+
   # Guards against runs that are stopped for work that can no longer finish in time.
   Scenario: Work that can't meet its late limit preempts nothing
     Given 12 workers that are full of batch work for 20000 ms
--- a/tests/steps/decision_steps.ts
+++ b/tests/steps/decision_steps.ts
@@ -308,6 +308,14 @@
   assert.ok(passes * passMs <= durationMs / 4, `${passes} passes`);
 });
 
+Then('the next pass is due at most {int} ms after it', (maxMs: number) => {
+  const schedule = new PlanningSchedule();
+  schedule.recordPass(0, passMs);
+  schedule.request();
+  const delayMs = schedule.delayMs(passMs);
+  assert.ok(delayMs <= maxMs, `${delayMs} ms`);
+});
+
 Then(
   'a pass is due {int} ms after the last one without a request',
   (intervalMs: number) => {
