Learn no run time from runs that were first reported at their end

What callers saw: nothing yet that is traced to it; found by review. Estimates decide which work preempts, how much work a stop loses and how long a run is waited for. Cause: the time since the first report is 0 for a run of which this leader saw the end only, as after a takeover, and was recorded as its run time. Each such end took a fifth off the estimates of the queue, so that the age of adopted runs, which is their progress times the estimate, came out too low.

'A run that a new leader sees only at its end does not change estimates' failed before: 36,000 of 45,000 core-ms after one end.

--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -671,7 +671,13 @@
   private finishTask(task: TrackedTask, nowMs: number): void {
     const unit = task.unit!;
     const {queue} = unit.job.spec;
-    this.runTimes.record(queue, unit.step.spec.estimateMs, ranMs(task, nowMs));
+    // The run time is unknown if the end is the first that was reported of the run.
+    if (task.runningSinceMs !== 0)
+      this.runTimes.record(
+        queue,
+        unit.step.spec.estimateMs,
+        ranMs(task, nowMs),
+      );
     this.failureTracker.recordSuccess(agentOf(task.worker));
     for (const member of unit.isGang ? unit.tasks : [task]) {
       this.placedByWorker.get(member.worker)?.delete(member);
--- a/tests/features/job_recovery.feature
+++ b/tests/features/job_recovery.feature
@@ -245,3 +245,9 @@
     When a new leader gets guaranteed work for the whole worker, which reports that run
     Then the run is not stopped at once
     But it is stopped 700 ms after the takeover
+
+  # Guards against estimates that collapse as a new leader sees only the ends of runs.
+  Scenario: A run that a new leader sees only at its end does not change estimates
+    Given a stored job with a run of 10000 ms on a worker
+    When a new leader finds that run done, and a run of the same queue at 50 % is lost
+    Then the leader counts 50 % of the run as lost work
--- a/tests/steps/job_steps.ts
+++ b/tests/steps/job_steps.ts
@@ -4,6 +4,10 @@
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import fc from 'fast-check';
 import {JobIndex} from '../../src/jobs/job_index.js';
+import {
+  type RunStatus,
+  type WorkerInventory,
+} from '../../src/jobs/engine_messages.js';
 import {type EngineEvent, JobEngine} from '../../src/jobs/job_engine.js';
 import {
   type TaskRecord,
@@ -17,6 +21,7 @@
 } from '../../src/jobs/job_rows.js';
 import {sleep} from '../../src/plugins/sleep.js';
 import {type RowValue} from '../../src/ports/state_store.js';
+import {RunEndKind} from '../../src/ports/task_worker.js';
 import {Random} from '../../src/core/random.js';
 import {type WorkerReport, workerKey} from '../../src/jobs/worker_pool.js';
 import {
@@ -591,7 +596,13 @@
   },
 );
 
-const ADOPTED_RUN = {agent: 'a0', worker: 'w0', bornMs: 1, run: 1};
+const ADOPTED_RUN = {
+  agent: 'a0',
+  worker: 'w0',
+  bornMs: 1,
+  task: 'j1.0.0.0',
+  run: 1,
+};
 let adoptedRunMs = 0;
 let lostCoreMs: number | undefined;
 let adoptingEngine: JobEngine | undefined;
@@ -600,6 +611,7 @@
   'a stored job with a run of {int} ms on a worker',
   (estimateMs: number) => {
     adoptedRunMs = estimateMs;
+    lostCoreMs = undefined;
     const job = makeStoredJob([makeStep({estimateMs})]);
     const task: TaskRecord = {
       state: TaskState.PLACED,
@@ -629,9 +641,12 @@
   return engine;
 }
 
-/** Reports the adopted run with this progress, on a worker that it fills. */
-function reportAdoptedRun(engine: JobEngine, percent: number): void {
-  const {agent, worker, bornMs, run} = ADOPTED_RUN;
+/** Reports the worker of the adopted run, which fills it, with these runs and ends. */
+function reportInventory(
+  engine: JobEngine,
+  {runs = [], ends = []}: Partial<WorkerInventory>,
+): void {
+  const {agent, worker, bornMs} = ADOPTED_RUN;
   const report: WorkerReport = {
     id: worker,
     bornMs,
@@ -642,15 +657,17 @@
     draining: false,
     drainRemainingMs: 0,
   };
-  const status = {
-    task: 'j1.0.0.0',
-    run,
-    isRunning: true,
-    checkpoint: '',
-    percent,
-  };
-  const inventory = {worker: report, runs: [status], ends: []};
-  engine.recordInventory(agent, inventory, 0);
+  engine.recordInventory(agent, {worker: report, runs, ends}, 0);
+}
+
+function makeRunStatus(task: string, percent: number): RunStatus {
+  const {run} = ADOPTED_RUN;
+  return {task, run, isRunning: true, checkpoint: '', percent};
+}
+
+/** Reports the adopted run with this progress. */
+function reportAdoptedRun(engine: JobEngine, percent: number): void {
+  reportInventory(engine, {runs: [makeRunStatus(ADOPTED_RUN.task, percent)]});
 }
 
 When(
@@ -665,6 +682,24 @@
   },
 );
 
+When(
+  'a new leader finds that run done, and a run of the same queue at {int} % is lost',
+  (percent: number) => {
+    const engine = makeEngine(TEST_TABLES, event => {
+      if (event.event === 'runLost') lostCoreMs = event.lostCoreMs;
+    });
+    const {agent, worker, bornMs, task, run} = ADOPTED_RUN;
+    const kind = RunEndKind.DONE;
+    const end = {number: 1, task, run, kind, checkpoint: ''};
+    reportInventory(engine, {ends: [end]});
+    const next = makeStoredJob([makeStep({estimateMs: adoptedRunMs})]);
+    engine.addJob({...next, id: 'j2'}, 0, 0);
+    engine.plan(0);
+    reportInventory(engine, {runs: [makeRunStatus('j2.0.0.0', percent)]});
+    engine.markWorkerLost(workerKey(agent, worker, bornMs), 'test', 0);
+  },
+);
+
 When(
   'a new leader gets guaranteed work for the whole worker, which reports that run',
   () => {
