A leader that stops releases its leadership after the current commit

What callers saw: nothing yet that is traced to it; found by review. An overloaded leader that is told to stop keeps its lead until the rows that wait have been written, or until its grace period is over; the successor then waits for the takeover time on top. Cause: the release waits for the current commit, but the end of each commit starts the next one in the same turn, so the release never sees a leader at rest while rows keep coming. Orders are sent after the commit of their rows, so that the successor can decide anew on what was not committed.

--- a/src/gate/leader_role.ts
+++ b/src/gate/leader_role.ts
@@ -197,7 +197,8 @@
     const {term} = this;
     if (!term?.engine) return;
     this.sendOrders(term, term.engine.takeOrders());
-    if (this.isCommitting) return;
+    // While leadership is being released, the rest is left to the successor.
+    if (this.isCommitting || this.isReleasing) return;
     const batch = term.engine.takeBatch();
     const nowMs = this.ctx.clock.nowMs();
     const isDue =
--- a/tests/features/job_recovery.feature
+++ b/tests/features/job_recovery.feature
@@ -251,3 +251,9 @@
     Given a stored job with a run of 10000 ms on a worker
     When a new leader finds that run done, and a run of the same queue at 50 % is lost
     Then the leader counts 50 % of the run as lost work
+
+  # Guards against an overloaded leader that commits until its grace period is over.
+  Scenario: A leader with many rows to commit releases its leadership at once
+    Given a leader that has the results of 2000 jobs to commit
+    When it releases its leadership
+    Then it commits no more than 1 more times
