A new leader may preempt a gang of which one member was reported

What callers saw: nothing yet that is traced to it; found by review. After a takeover, guaranteed work may wait up to the contact timeout (11.5 s) for workers on which a gang runs that has a member on a worker that left. Cause: no unit was preempted until all of its members had been reported to the new leader, and the runs on a worker that left are never reported. The timeline has such gangs.

Members of a gang run together, so the age of one tells that of all: a stop is counted as losing the work of each member for the time of the oldest known one, where unreported members counted as 0 before.

'A new leader preempts a gang of which one member was reported' and 'All members of a gang count as old as the oldest' failed before: no stop, and half of the work.

--- a/src/jobs/planning_pass.ts
+++ b/src/jobs/planning_pass.ts
@@ -181,7 +181,7 @@
     const found: PreemptibleUnit[] = [];
     for (const unit of this.input.placed) {
       if (this.isUrgent(unit) || unit.isStopping || unit.job.isEnded) continue;
-      if (unit.tasks.some(t => t.isPlaced && t.isAgeUnknown)) continue;
+      if (unit.isAgeUnknown) continue;
       found.push({unit, victim: toVictim(unit, this.input.nowMs)});
     }
     return found.sort((a, b) => a.victim.costCoreMs - b.victim.costCoreMs);
--- a/src/jobs/tracked_job.ts
+++ b/src/jobs/tracked_job.ts
@@ -101,13 +101,11 @@
   }
 
   /** Work that a stop would lose, in core-ms. */
-  stopCostCoreMs(nowMs: number): number {
-    if (!this.isPlaced || this.runningSinceMs === 0) return 0;
+  stopCostCoreMs(nowMs: number, sinceMs = this.runningSinceMs): number {
+    if (!this.isPlaced || sinceMs === 0) return 0;
     const {checkpointing, request} = this.step.spec;
     // A stop writes a checkpoint, so only the time to restore it is lost.
-    const lostMs = checkpointing
-      ? CHECKPOINT_RESTORE_MS
-      : nowMs - this.runningSinceMs;
+    const lostMs = checkpointing ? CHECKPOINT_RESTORE_MS : nowMs - sinceMs;
     return lostMs * coreEquivalents(request);
   }
 }
@@ -154,9 +152,24 @@
     return Math.max(...this.tasks.map(t => t.run)) + 1;
   }
 
-  /** Work that a stop would lose, in core-ms. */
+  /**
+   * Work that a stop would lose, in core-ms. Members of a gang run together, so the oldest
+   * tells the age of those that no agent has reported to this leader yet.
+   */
   stopCostCoreMs(nowMs: number): number {
-    return this.tasks.reduce((sum, t) => sum + t.stopCostCoreMs(nowMs), 0);
+    const known = this.tasks.filter(t => t.isPlaced && t.runningSinceMs !== 0);
+    if (known.length === 0) return 0;
+    const sinceMs = Math.min(...known.map(t => t.runningSinceMs));
+    return this.tasks.reduce(
+      (sum, t) => sum + t.stopCostCoreMs(nowMs, sinceMs),
+      0,
+    );
+  }
+
+  /** Whether an earlier leader placed the unit and no agent has reported it since. */
+  get isAgeUnknown(): boolean {
+    const placed = this.tasks.filter(t => t.isPlaced);
+    return placed.length > 0 && placed.every(t => t.isAgeUnknown);
   }
 }
 
--- a/tests/features/job_recovery.feature
+++ b/tests/features/job_recovery.feature
@@ -246,6 +246,17 @@
     Then the run is not stopped at once
     But it is stopped 700 ms after the takeover
 
+  # Guards against guaranteed work that waits for the contact timeout of another worker.
+  Scenario: A new leader preempts a gang of which one member was reported
+    Given a stored gang of 2 runs of 10000 ms on 2 workers
+    When a new leader gets guaranteed work for the whole worker, which reports that run
+    Then the run is not stopped at once
+    But the gang is stopped 700 ms after the takeover
+
+  Scenario: All members of a gang count as old as the oldest
+    Given a gang of 2 placed tasks of which one was reported
+    Then a stop of the gang 5000 ms later loses 5000 ms of work of both
+
   # Guards against estimates that collapse as a new leader sees only the ends of runs.
   Scenario: A run that a new leader sees only at its end does not change estimates
     Given a stored job with a run of 10000 ms on a worker
--- a/tests/steps/job_steps.ts
+++ b/tests/steps/job_steps.ts
@@ -23,6 +23,11 @@
 import {type RowValue} from '../../src/ports/state_store.js';
 import {RunEndKind} from '../../src/ports/task_worker.js';
 import {Random} from '../../src/core/random.js';
+import {
+  TrackedJob,
+  TrackedOccurrence,
+  type TrackedStep,
+} from '../../src/jobs/tracked_job.js';
 import {type WorkerReport, workerKey} from '../../src/jobs/worker_pool.js';
 import {
   formatTaskName,
@@ -539,13 +544,13 @@
   };
 }
 
-/** Index of the stored rows of a job with one task. */
-function indexOf(job: JobSpec, task: TaskRecord): JobIndex {
+/** Index of the stored rows of a job with one step. */
+function indexOf(job: JobSpec, ...tasks: readonly TaskRecord[]): JobIndex {
   const ref = {job: job.id, occurrence: 0, step: 0, block: 0};
   const jobIndex = new JobIndex();
   for (const [key, value] of [
     [rowKeys.job(job.id), encodeJob(job)],
-    [rowKeys.block(ref), encodeBlock([task])],
+    [rowKeys.block(ref), encodeBlock(tasks)],
   ] as const)
     jobIndex.apply(parseRowKey(key)!, {key, value, version: 1});
   return jobIndex;
@@ -613,21 +618,31 @@
     adoptedRunMs = estimateMs;
     lostCoreMs = undefined;
     const job = makeStoredJob([makeStep({estimateMs})]);
-    const task: TaskRecord = {
-      state: TaskState.PLACED,
-      run: ADOPTED_RUN.run,
-      worker: workerKey(
-        ADOPTED_RUN.agent,
-        ADOPTED_RUN.worker,
-        ADOPTED_RUN.bornMs,
-      ),
-      checkpoint: '',
-      failures: 0,
-    };
-    storedJob = {jobIndex: indexOf(job, task), job};
+    storedJob = {jobIndex: indexOf(job, makePlacedTask('a0')), job};
   },
 );
 
+Given(
+  'a stored gang of 2 runs of {int} ms on 2 workers',
+  (estimateMs: number) => {
+    const step = makeStep({count: 2, gang: true, estimateMs});
+    const job = makeStoredJob([step]);
+    const tasks = ['a0', 'a1'].map(makePlacedTask);
+    storedJob = {jobIndex: indexOf(job, ...tasks), job};
+  },
+);
+
+function makePlacedTask(agent: string): TaskRecord {
+  const {worker, bornMs, run} = ADOPTED_RUN;
+  return {
+    state: TaskState.PLACED,
+    run,
+    worker: workerKey(agent, worker, bornMs),
+    checkpoint: '',
+    failures: 0,
+  };
+}
+
 function makeEngine(
   tables: JobTables,
   onEvent: (event: EngineEvent) => void,
@@ -738,6 +753,34 @@
   assert.deepEqual(stopsAt(afterMs), ['j1.0.0.0']);
 });
 
+Then('the gang is stopped {int} ms after the takeover', (afterMs: number) => {
+  assert.deepEqual(stopsAt(afterMs - 1), []);
+  assert.deepEqual(stopsAt(afterMs), ['j1.0.0.0', 'j1.0.0.1']);
+});
+
+const REPORTED_AT_MS = 1;
+let gangStep: TrackedStep;
+
+Given('a gang of 2 placed tasks of which one was reported', () => {
+  const spec = makeStep({count: 2, gang: true});
+  const job = new TrackedJob(makeStoredJob([spec]), 0);
+  const tasks = ['a0', 'a1'].map(makePlacedTask);
+  const occurrence = new TrackedOccurrence(job, 0, 0, () => tasks);
+  [gangStep] = occurrence.openReadySteps(0);
+  gangStep.tasks[0].runningSinceMs = REPORTED_AT_MS;
+});
+
+Then(
+  'a stop of the gang {int} ms later loses {int} ms of work of both',
+  (laterMs: number, lostMs: number) => {
+    const [gang] = gangStep.units;
+    assert.equal(
+      gang.stopCostCoreMs(REPORTED_AT_MS + laterMs),
+      2 * lostMs * coreEquivalents(gangStep.spec.request),
+    );
+  },
+);
+
 Then('the leader counts {int} % of the run as lost work', (percent: number) => {
   const {request} = makeStep();
   assert.equal(
