Read the runs of a preemption victim once for each plan

What callers saw: nothing yet that is traced to it; found by review. Cause: the capacity that victims free on one worker was computed from all runs of each of these victims, for each prefix of them and each worker. Worker checks do not count this, so that neither the metrics nor the load simulation showed it.

--- a/src/jobs/preemption_plan.ts
+++ b/src/jobs/preemption_plan.ts
@@ -50,10 +50,11 @@
   const byCost = [...victims].sort((a, b) => a.costCoreMs - b.costCoreMs);
   const groups = candidateGroups(step, count, candidates, rules);
   const inAnyGroup = new FreedCapacity(step, count, groups, rules);
+  const shares = sharesByWorker(byCost);
   const choices = [
     chooseByVictim(inAnyGroup, byCost),
     ...groups.map(group =>
-      chooseByWorker(new FreedCapacity(step, count, [group], rules), byCost),
+      chooseByWorker(new FreedCapacity(step, count, [group], rules), shares),
     ),
   ].filter(choice => choice !== undefined);
   choices.sort((a, b) => costOf(a) - costOf(b));
@@ -83,21 +84,15 @@
 /** Clears the worker on which a task costs least, until the tasks fit. */
 function chooseByWorker(
   freed: FreedCapacity,
-  byCost: readonly Victim[],
+  shares: ReadonlyMap<string, readonly VictimShare[]>,
 ): Victim[] | undefined {
-  const victimsOn = new Map<string, Victim[]>();
-  for (const victim of byCost)
-    for (const worker of new Set(victim.freed.map(f => f.worker)))
-      getOrAdd(victimsOn, worker, () => []).push(victim);
-  const chosen: Victim[] = [];
+  const chosen = new Set<Victim>();
   const clearings = new Map<string, Clearing | undefined>();
   while (!freed.fits) {
     for (const worker of freed.workerKeys()) {
       if (clearings.has(worker)) continue;
-      const left = (victimsOn.get(worker) ?? []).filter(
-        v => !chosen.includes(v),
-      );
-      clearings.set(worker, freed.cheapestClearing(worker, left));
+      const left = shares.get(worker)?.filter(s => !chosen.has(s.victim));
+      clearings.set(worker, freed.cheapestClearing(worker, left ?? []));
     }
     let best: Clearing | undefined;
     for (const clearing of clearings.values())
@@ -106,12 +101,12 @@
     if (!best) return undefined;
     for (const victim of best.victims) {
       freed.add(victim);
-      chosen.push(victim);
+      chosen.add(victim);
       for (const {worker} of victim.freed) clearings.delete(worker);
     }
   }
-  chosen.sort((a, b) => a.costCoreMs - b.costCoreMs);
-  return withoutUnneeded(freed, chosen);
+  const byCost = [...chosen].sort((a, b) => a.costCoreMs - b.costCoreMs);
+  return withoutUnneeded(freed, byCost);
 }
 
 /** Removes victims that are not needed, the most expensive first. */
@@ -133,6 +128,28 @@
   return victims.reduce((sum, v) => sum + v.costCoreMs, 0);
 }
 
+/** Resources that a victim frees on one worker. */
+interface VictimShare {
+  readonly victim: Victim;
+  freed: Resources;
+}
+
+/** Shares of the victims by worker, in the order of the victims. */
+function sharesByWorker(
+  victims: readonly Victim[],
+): Map<string, readonly VictimShare[]> {
+  const shares = new Map<string, VictimShare[]>();
+  for (const victim of victims) {
+    for (const {worker, request} of victim.freed) {
+      const onWorker = getOrAdd(shares, worker, () => []);
+      const last = onWorker.at(-1);
+      if (last?.victim !== victim) onWorker.push({victim, freed: request});
+      else last.freed = addResources(last.freed, request);
+    }
+  }
+  return shares;
+}
+
 /** Victims on one worker whose stop makes room for more tasks there. */
 interface Clearing {
   readonly victims: readonly Victim[];
@@ -208,24 +225,26 @@
    */
   cheapestClearing(
     worker: string,
-    byCost: readonly Victim[],
+    byCost: readonly VictimShare[],
   ): Clearing | undefined {
     const freed = this.workers.get(worker)!;
-    const slotsAfter = (victims: readonly Victim[]): number =>
-      this.slotsOn(freed, freedOn(worker, victims, freed.free));
-    const chosen: Victim[] = [];
-    for (const victim of byCost) {
-      chosen.push(victim);
-      if (slotsAfter(chosen) > freed.slots) break;
+    let {free} = freed;
+    let needed: VictimShare[] = [];
+    for (const share of byCost) {
+      needed.push(share);
+      free = addResources(free, share.freed);
+      if (this.slotsOn(freed, free) > freed.slots) break;
     }
-    if (slotsAfter(chosen) <= freed.slots) return undefined;
-    let needed = chosen;
-    for (const victim of [...chosen].reverse()) {
-      const fewer = needed.filter(v => v !== victim);
-      if (slotsAfter(fewer) > freed.slots) needed = fewer;
+    if (this.slotsOn(freed, free) <= freed.slots) return undefined;
+    for (const share of [...needed].reverse()) {
+      const freeWithout = subtractResources(free, share.freed);
+      if (this.slotsOn(freed, freeWithout) <= freed.slots) continue;
+      needed = needed.filter(s => s !== share);
+      free = freeWithout;
     }
-    const tasks = slotsAfter(needed) - freed.slots;
-    return {victims: needed, costPerTask: costOf(needed) / tasks};
+    const victims = needed.map(s => s.victim);
+    const tasks = this.slotsOn(freed, free) - freed.slots;
+    return {victims, costPerTask: costOf(victims) / tasks};
   }
 
   /** The candidates with the capacity that the added victims free. */
@@ -251,15 +270,3 @@
     return Math.min(this.count, slotsOf(this.step, candidate, free));
   }
 }
-
-/** Free capacity of a worker after these victims have been stopped. */
-function freedOn(
-  worker: string,
-  victims: readonly Victim[],
-  free: Resources,
-): Resources {
-  return victims
-    .flatMap(v => v.freed)
-    .filter(f => f.worker === worker)
-    .reduce((sum, f) => addResources(sum, f.request), free);
-}
--- a/tests/features/job_decisions.feature
+++ b/tests/features/job_decisions.feature
@@ -47,6 +47,12 @@
     When 8 accelerators are freed by preemption
     Then the runs of the first worker are stopped
 
+  # Guards against searches that read all runs of each gang for each worker on which it runs.
+  Scenario: A preemption plan reads the runs of wide gangs a few times only
+    Given 68 full workers with gangs of 32 small runs
+    When a preemption plan is made for 32 tasks that take whole workers
+    Then each run was read at most 10 times on average
+
   Scenario: Guaranteed work is placed first, and work past its late limit last
     Given waiting work: past its late limit, urgent, guaranteed and old
     Then it is placed in the order guaranteed, urgent, old, late
--- a/tests/steps/decision_steps.ts
+++ b/tests/steps/decision_steps.ts
@@ -249,6 +249,52 @@
   },
 );
 
+let readRuns = 0;
+
+/** A victim that counts how often its runs are read. */
+function makeCountingVictim(id: string, freed: Victim['freed']): Victim {
+  return {
+    id,
+    get freed() {
+      readRuns += freed.length;
+      return freed;
+    },
+    costCoreMs: 100,
+  };
+}
+
+Given(
+  '{int} full workers with gangs of {int} small runs',
+  (workers: number, members: number) => {
+    candidates = Array.from({length: workers}, (unused, i) =>
+      makeCandidate(`w${i}`, 0, 'r0'),
+    );
+    const {request} = stepRequesting(1);
+    const runs = Array.from({length: workers * 8}, (unused, i) => ({
+      worker: `w${i % workers}`,
+      request,
+    }));
+    victims = [];
+    for (let i = 0; i < runs.length; i += members)
+      victims.push(makeCountingVictim(`g${i}`, runs.slice(i, i + members)));
+    readRuns = 0;
+  },
+);
+
+When(
+  'a preemption plan is made for {int} tasks that take whole workers',
+  (count: number) => {
+    step = stepRequesting(8, {gang: true});
+    plan = planPreemption(step, count, candidates, victims, ANY_RACK);
+    assert.ok(plan);
+  },
+);
+
+Then('each run was read at most {int} times on average', (limit: number) => {
+  const runs = candidates.length * 8;
+  assert.ok(readRuns <= limit * runs, `${readRuns / runs} times`);
+});
+
 Then('the runs of the first worker are stopped', () => {
   const ids = plan?.victims.map(v => v.id) ?? [];
   assert.equal(ids.length, 8);
