--- a/tests/features/job_decisions.feature
+++ b/tests/features/job_decisions.feature
@@ -41,7 +41,7 @@
   Scenario: Preemption plans cost no more than a search by the cost of single runs
     Then the preemption plans of 500 random loads fit, need each of their victims, and cost no more than a search by victim
 
-  # Guards against clearing many cheap runs of a worker where a few costly ones lose less.
+  # Guards against clearing a worker of many runs of medium cost where another loses less in all.
   Scenario: Preemption clears the worker on which the least work is lost
     Given a worker with one run of 500 and seven of 10 core-ms, and one with eight of 400 core-ms
     When 8 accelerators are freed by preemption
--- a/tests/features/job_recovery.feature
+++ b/tests/features/job_recovery.feature
@@ -253,6 +253,7 @@
     Then the run is not stopped at once
     But the gang is stopped 700 ms after the takeover
 
+  # Guards against unreported members of a gang that count as free to stop.
   Scenario: All members of a gang count as old as the oldest
     Given a gang of 2 placed tasks of which one was reported
     Then a stop of the gang 5000 ms later loses 5000 ms of work of both
