--- a/src/jobs/planning_schedule.ts
+++ b/src/jobs/planning_schedule.ts
@@ -6,7 +6,7 @@
  * lead.
  */
 
-/** Largest share of the time that planning takes. */
+/** Largest share of the time that planning takes, up to passes of a third of `MAX_REST_MS`. */
 const MAX_PLANNING_SHARE = 0.25;
 /**
  * Longest rest after a pass, in ms. The time of a pass includes any time in which the
