Wait for the takeover instead of a fixed time in a leadership test

The step slept 50 ms and then required an engine; beside load the takeover may take longer. It now asks until the leader has read its rows.

--- a/tests/steps/leadership_steps.ts
+++ b/tests/steps/leadership_steps.ts
@@ -100,9 +100,10 @@
       },
     );
     leaderRole.tick(clock.nowMs());
-    await sleep(5 * COMMIT_MS);
-    leaderRole.onSynced(1);
-    assert.ok(leaderRole.engine);
+    while (!leaderRole.engine) {
+      await sleep(COMMIT_MS);
+      leaderRole.onSynced(1);
+    }
   },
 );
 
