--- a/src/agent/gate_links.ts
+++ b/src/agent/gate_links.ts
@@ -1,33 +1,34 @@
-/** Links from an agent to all known gates. */
-import {WebSocket} from 'ws';
+/** Links from an agent to the gates that its directory selects. */
 import {type Clock} from '../core/clock.js';
 import {Link, type LinkContext} from '../links/link.js';
 import {type ComponentLog} from '../plugins/event_log.js';
 import {
-  type AgentReport,
+  type AgentMessage,
   type GateJobMessage,
   agentJobCodec,
 } from '../protocol/job_messages.js';
+import {type GateDialer} from './gate_dialer.js';
+import {type GateDirectory} from './gate_directory.js';
 
-/** Maximum size of a message from a gate, in bytes. */
-const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
-/** Timeout for opening a connection, in ms. */
-const CONNECT_TIMEOUT_MS = 800; // links between data centres take a few ms
-/** Maximum number of gates to which an agent keeps a link. */
-export const MAX_GATE_LINKS = 12; // each link carries a 0.6 KB report twice a second
+/** Number of links to gates that do not lead. */
+export const STANDBY_LINKS = 3; // one of them usually survives the loss of a data centre
 /** Delay before reconnecting to an address, in ms. */
 const RECONNECT_DELAY_MS = 300;
-/** Time without a message after which an address is removed, in ms. */
-const ENDPOINT_EXPIRY_MS = 30_000;
 
-type GateLink = Link<GateJobMessage, AgentReport>;
+type GateLink = Link<GateJobMessage, AgentMessage>;
 
-interface GateEndpoint {
+interface GateConnection {
   readonly address: string;
   link: GateLink | undefined;
   isOpen: boolean;
   nextConnectAtMs: number;
-  lastMessageAtMs: number;
+}
+
+export interface GateLinksContext {
+  readonly clock: Clock;
+  readonly dialer: GateDialer;
+  readonly link: LinkContext;
+  readonly log: ComponentLog;
 }
 
 export interface GateLinkHandlers {
@@ -37,90 +38,95 @@
 }
 
 export class GateLinks {
-  private readonly endpoints = new Map<string, GateEndpoint>();
+  private readonly connections = new Map<string, GateConnection>();
   private isStopped = false;
 
   constructor(
-    private readonly maxLinks: number,
-    private readonly clock: Clock,
-    private readonly ctx: LinkContext,
-    private readonly log: ComponentLog,
+    private readonly directory: GateDirectory,
+    private readonly ctx: GateLinksContext,
     private readonly handlers: GateLinkHandlers,
   ) {}
 
-  /** Adds gate addresses. Known addresses keep their state. */
-  addAddresses(addresses: readonly string[]): void {
-    for (const address of addresses) {
-      if (this.endpoints.has(address) || this.endpoints.size >= this.maxLinks)
-        continue;
-      this.endpoints.set(address, {
-        address,
-        link: undefined,
-        isOpen: false,
-        nextConnectAtMs: 0,
-        lastMessageAtMs: this.clock.nowMs(),
-      });
-    }
-  }
-
   get openAddresses(): string[] {
-    return [...this.endpoints.values()]
-      .filter(e => e.isOpen)
-      .map(e => e.address);
+    return [...this.connections.values()]
+      .filter(c => c.isOpen)
+      .map(c => c.address);
   }
 
-  send(address: string, report: AgentReport): void {
-    const endpoint = this.endpoints.get(address);
-    if (endpoint?.isOpen) endpoint.link?.send(report);
+  send(address: string, message: AgentMessage): void {
+    const connection = this.connections.get(address);
+    if (connection?.isOpen) connection.link?.send(message);
   }
 
-  /** Closes links that timed out and connects to addresses without a link. */
-  tick(): void {
-    const nowMs = this.clock.nowMs();
-    for (const endpoint of [...this.endpoints.values()]) {
-      endpoint.link?.closeIfTimedOut();
-      if (endpoint.link || this.isStopped || nowMs < endpoint.nextConnectAtMs)
-        continue;
-      if (nowMs - endpoint.lastMessageAtMs > ENDPOINT_EXPIRY_MS)
-        this.endpoints.delete(endpoint.address);
-      else this.connect(endpoint);
-    }
+  /** Closes links that timed out or are not needed, and opens missing ones. */
+  update(): void {
+    if (this.isStopped) return;
+    const nowMs = this.ctx.clock.nowMs();
+    for (const {link} of [...this.connections.values()])
+      link?.closeIfTimedOut();
+    const selected = this.directory.selectLinks(nowMs);
+    for (const address of selected) this.connectIfDue(address, nowMs);
+    // Surplus links stay until the selected ones have replaced them.
+    if (selected.every(a => this.connections.get(a)?.isOpen))
+      this.closeExcept(new Set(selected));
   }
 
   close(): void {
     this.isStopped = true;
-    for (const endpoint of this.endpoints.values())
-      endpoint.link?.close('agent is shutting down');
+    for (const {link} of this.connections.values())
+      link?.close('agent is shutting down');
   }
 
-  private connect(endpoint: GateEndpoint): void {
-    const ws = new WebSocket(`ws://${endpoint.address}`, {
-      handshakeTimeout: CONNECT_TIMEOUT_MS,
-      maxPayload: MAX_MESSAGE_BYTES,
-      perMessageDeflate: false,
-    });
-    const link: GateLink = new Link(ws, agentJobCodec, this.ctx, {
-      onMessage: message => {
-        endpoint.lastMessageAtMs = this.clock.nowMs();
-        this.handlers.onMessage(endpoint.address, message);
-      },
-      onClosed: reason => this.onClosed(endpoint, reason),
+  private connectIfDue(address: string, nowMs: number): void {
+    let connection = this.connections.get(address);
+    if (!connection) {
+      connection = {
+        address,
+        link: undefined,
+        isOpen: false,
+        nextConnectAtMs: nowMs,
+      };
+      this.connections.set(address, connection);
+    }
+    if (!connection.link && nowMs >= connection.nextConnectAtMs)
+      this.connect(connection);
+  }
+
+  private closeExcept(selected: ReadonlySet<string>): void {
+    for (const {address, link} of [...this.connections.values()]) {
+      if (selected.has(address)) continue;
+      this.connections.delete(address);
+      link?.close('the link is not needed any more');
+    }
+  }
+
+  private connect(connection: GateConnection): void {
+    const {address} = connection;
+    const ws = this.ctx.dialer.dial(address);
+    const link: GateLink = new Link(ws, agentJobCodec, this.ctx.link, {
+      onMessage: message => this.handlers.onMessage(address, message),
+      onClosed: reason => this.onClosed(connection, reason),
     });
-    endpoint.link = link;
+    connection.link = link;
     ws.on('open', () => {
-      endpoint.isOpen = true;
-      this.log.logEvent('gateConnected', {gate: endpoint.address});
-      this.handlers.onOpen(endpoint.address);
+      if (!link.isOpen) return;
+      connection.isOpen = true;
+      this.directory.recordOpen(address);
+      this.ctx.log.logEvent('gateConnected', {gate: address});
+      this.handlers.onOpen(address);
     });
   }
 
-  private onClosed(endpoint: GateEndpoint, reason: string): void {
-    const wasOpen = endpoint.isOpen;
-    endpoint.link = undefined;
-    endpoint.isOpen = false;
-    endpoint.nextConnectAtMs = this.clock.nowMs() + RECONNECT_DELAY_MS;
+  private onClosed(connection: GateConnection, reason: string): void {
+    const {address, isOpen: wasOpen} = connection;
+    const nowMs = this.ctx.clock.nowMs();
+    connection.link = undefined;
+    connection.isOpen = false;
+    connection.nextConnectAtMs = nowMs + RECONNECT_DELAY_MS;
+    const isSurplus = this.connections.get(address) !== connection;
+    if (!isSurplus) this.directory.recordFailure(address, nowMs);
     if (!wasOpen || this.isStopped) return;
-    this.log.logEvent('gateDisconnected', {gate: endpoint.address, reason});
-    this.handlers.onClosed(endpoint.address);
+    this.ctx.log.logEvent('gateDisconnected', {gate: address, reason});
+    this.handlers.onClosed(address);
   }
 }
--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -2,7 +2,13 @@
 import {type Clock} from '../core/clock.js';
 import {readClocks, type ClockReading} from '../core/clock_reading.js';
 import {HybridClock} from '../core/hybrid_clock.js';
-import {decodeGateRow} from '../jobs/job_rows.js';
+import {
+  type LeaderRow,
+  decodeGateRow,
+  decodeLeaderRow,
+  leaderAddressOf,
+  rowKeys,
+} from '../jobs/job_rows.js';
 import {type WorkerReport} from '../jobs/worker_pool.js';
 import {type EventLog, type ComponentLog} from '../plugins/event_log.js';
 import {LoopDelayMonitor} from '../plugins/loop_delay_monitor.js';
@@ -10,20 +16,27 @@
 import {type StateStore} from '../ports/state_store.js';
 import {type TaskWorker} from '../ports/task_worker.js';
 import {
-  type AgentReport,
+  type GateAnswer,
   type GateJobMessage,
+  type GateOrders,
   type LostWorker,
 } from '../protocol/job_messages.js';
+import {type GateDialer} from './gate_dialer.js';
+import {GateDirectory} from './gate_directory.js';
 import {GateLinks} from './gate_links.js';
 import {LeaseRenewer, type LeaseTimes} from './lease_renewer.js';
 import {ReportSchedule} from './report_schedule.js';
 import {WorkerDriver} from './worker_driver.js';
 
-/** Maximum interval between reports to one gate, in ms. */
+/** Maximum interval between reports to the leader, in ms. */
 const REPORT_INTERVAL_MS = 500;
+/** Interval between messages on a link to another gate, in ms. */
+const PROBE_INTERVAL_MS = 650; // three within the link timeout
 const TICK_INTERVAL_MS = 100;
-/** Time without a known leader after which gates are looked up in the store, in ms. */
+/** Time without a leader and without a link after which the store is read, in ms. */
 const GATE_SEARCH_DELAY_MS = 1000;
+/** The same while a gate is linked, which would announce a new leader, in ms. */
+const LINKED_GATE_SEARCH_DELAY_MS = 3500; // a takeover takes up to 2.5 s
 const GATE_SEARCH_TIMEOUT_MS = 1500;
 
 export interface JobAgentOptions {
@@ -32,12 +45,13 @@
   readonly lease: LeaseTimes;
   /** Time without a received message after which a link is closed, in ms. */
   readonly linkTimeoutMs: number;
-  /** Maximum number of gates to which the agent keeps a link. */
-  readonly maxGateLinks: number;
+  /** Number of links that the agent keeps beside the one to the leader. */
+  readonly standbyLinks: number;
 }
 
 export interface JobAgentContext {
   readonly store: StateStore;
+  readonly dialer: GateDialer;
   readonly worker: TaskWorker;
   readonly clock: Clock;
   readonly logs: EventLog;
@@ -45,6 +59,7 @@
 }
 
 export class JobAgent {
+  private readonly directory: GateDirectory;
   private readonly links: GateLinks;
   private readonly lease: LeaseRenewer;
   private readonly log: ComponentLog;
@@ -58,9 +73,10 @@
    */
   private lost: LostWorker | undefined;
   private epoch = 0;
-  /** Link address of the leader; undefined if unknown. */
+  /** Link address of the gate that answered as leader; undefined if there is none. */
   private leaderAddress: string | undefined;
   private readonly reportSchedule = new ReportSchedule(REPORT_INTERVAL_MS);
+  private readonly probeSchedule = new ReportSchedule(PROBE_INTERVAL_MS);
   private isReportPending = false;
   private searchedAtMs: number;
   private isSearching = false;
@@ -79,17 +95,25 @@
     });
     this.lease = new LeaseRenewer(options.lease);
     this.searchedAtMs = clock.nowMs() - GATE_SEARCH_DELAY_MS;
+    this.directory = new GateDirectory(
+      options.name,
+      options.seedGates,
+      options.standbyLinks,
+    );
     this.links = new GateLinks(
-      options.maxGateLinks,
-      clock,
+      this.directory,
       {
         clock,
-        hybridClock: new HybridClock(clock),
-        timeoutMs: options.linkTimeoutMs,
+        dialer: ctx.dialer,
+        link: {
+          clock,
+          hybridClock: new HybridClock(clock),
+          timeoutMs: options.linkTimeoutMs,
+        },
+        log: logs.forComponent('links'),
       },
-      logs.forComponent('links'),
       {
-        onOpen: address => this.report(address),
+        onOpen: address => this.onLinkOpen(address),
         onMessage: (address, message) => this.onMessage(address, message),
         onClosed: address => this.onLinkClosed(address),
       },
@@ -97,8 +121,7 @@
   }
 
   start(): void {
-    this.links.addAddresses(this.options.seedGates);
-    this.links.tick();
+    this.links.update();
     this.ticker = setInterval(() => this.tick(), TICK_INTERVAL_MS);
   }
 
@@ -169,12 +192,11 @@
 
   private tick(): void {
     this.loopDelay.recordTick();
-    this.links.tick();
+    this.links.update();
     const nowMs = this.ctx.clock.nowMs();
-    for (const address of this.links.openAddresses)
-      if (this.reportSchedule.isDue(address, nowMs)) this.report(address);
-    if (!this.leaderAddress) this.searchGates(nowMs);
-    else this.searchedAtMs = nowMs;
+    const {openAddresses} = this.links;
+    for (const address of openAddresses) this.sendIfDue(address, nowMs);
+    this.searchGates(nowMs, openAddresses.length > 0);
     if (this.driver?.takeLeaseExpiry()) {
       this.log.logEvent('leasesLapsed', {worker: this.driver.key});
       this.reportLostWorker({
@@ -194,50 +216,91 @@
     });
   }
 
-  private report(address: string | undefined): void {
-    if (address === undefined) return;
+  private sendIfDue(address: string, nowMs: number): void {
+    if (address === this.leaderAddress) {
+      if (this.reportSchedule.isDue(address, nowMs)) this.report(address);
+    } else if (this.probeSchedule.isDue(address, nowMs)) this.probe(address);
+  }
+
+  /** Asks a gate which gate leads, and keeps its link alive. */
+  private probe(address: string): void {
+    const sendTime = this.recordSend(address, this.probeSchedule);
+    const {epoch} = this;
+    const agent = this.options.name;
+    this.links.send(address, {
+      type: 'probe',
+      agent,
+      sentAtMs: sendTime.nowMs,
+      epoch,
+    });
+  }
+
+  private recordSend(address: string, schedule: ReportSchedule): ClockReading {
     const sendTime = readClocks(this.ctx.clock);
     this.reportSendTimes.set(sendTime.nowMs, sendTime);
-    this.reportSchedule.recordSent(address, sendTime.nowMs);
-    const isLeader = address === this.leaderAddress;
+    schedule.recordSent(address, sendTime.nowMs);
+    return sendTime;
+  }
+
+  private report(address: string | undefined): void {
+    if (address === undefined) return;
+    const sendTime = this.recordSend(address, this.reportSchedule);
     const inventory = this.driver?.isReachable
       ? this.driver.inventory()
       : undefined;
     if (inventory) this.lost = undefined;
-    const report: AgentReport = {
+    this.links.send(address, {
       type: 'report',
       agent: this.options.name,
       sentAtMs: sendTime.nowMs,
       epoch: this.epoch,
       inventory,
-      refusals: isLeader ? (this.driver?.takeRefusals() ?? []) : [],
+      refusals: this.driver?.takeRefusals() ?? [],
       lost: this.lost,
-    };
-    this.links.send(address, report);
+    });
   }
 
   private onMessage(address: string, message: GateJobMessage): void {
-    if (message.type === 'orders') return this.onOrders(message);
+    if (message.type === 'orders') return this.onOrders(address, message);
     const sentAt = this.reportSendTimes.get(message.sentAtMs);
     this.pruneSendTimes(message.sentAtMs);
-    this.links.addAddresses(message.gates);
+    if (message.gates) this.directory.addAddresses(message.gates);
     if (message.epoch < this.epoch) return;
-    const isNewEpoch = message.epoch > this.epoch;
-    this.epoch = message.epoch;
-    if (isNewEpoch && !message.leads) this.leaderAddress = undefined;
-    if (!message.leads) {
-      if (this.leaderAddress === address) this.leaderAddress = undefined;
-      return;
-    }
+    this.recordLeader(message.epoch, message.leaderAddress);
+    if (message.leads) this.onLeaderAnswer(address, message, sentAt);
+    else if (this.leaderAddress === address) this.leaderAddress = undefined;
+  }
+
+  /** Records the leader of an epoch as a gate or the store names it. */
+  private recordLeader(epoch: number, address: string | undefined): void {
+    if (epoch > this.epoch) this.leaderAddress = undefined;
+    this.epoch = epoch;
+    if (this.directory.leaderAddress === address) return;
+    this.directory.leaderAddress = address;
+    this.links.update();
+  }
+
+  private onLeaderAnswer(
+    address: string,
+    answer: GateAnswer,
+    sentAt: ClockReading | undefined,
+  ): void {
     if (this.leaderAddress !== address) {
       this.leaderAddress = address;
       this.log.logEvent('leaderFound', {gate: address, epoch: this.epoch});
       this.report(address);
     }
-    if (sentAt && message.extendsLeases) this.lease.recordContact(sentAt);
+    if (!answer.extendsLeases) return;
+    this.searchedAtMs = this.ctx.clock.nowMs();
+    if (sentAt) this.lease.recordContact(sentAt);
+  }
+
+  private onLinkOpen(address: string): void {
+    if (address === this.directory.leaderAddress) this.report(address);
+    else this.probe(address);
   }
 
-  private onOrders(message: Extract<GateJobMessage, {type: 'orders'}>): void {
+  private onOrders(address: string, message: GateOrders): void {
     if (message.epoch < this.epoch) {
       this.log.logEvent('ordersIgnored', {
         epoch: message.epoch,
@@ -245,7 +308,8 @@
       });
       return;
     }
-    this.epoch = message.epoch;
+    // Orders may arrive before any gate has named their sender as the leader.
+    if (message.epoch > this.epoch) this.recordLeader(message.epoch, address);
     const {driver} = this;
     for (const order of message.orders) {
       if (order.worker !== driver?.key) {
@@ -260,6 +324,7 @@
 
   private onLinkClosed(address: string): void {
     this.reportSchedule.forget(address);
+    this.probeSchedule.forget(address);
     if (this.leaderAddress === address) this.leaderAddress = undefined;
   }
 
@@ -270,10 +335,12 @@
         this.reportSendTimes.delete(sentAtMs);
   }
 
-  /** Looks up gates in the store, since the leader may be a gate unknown to the agent. */
-  private searchGates(nowMs: number): void {
-    if (this.isSearching || nowMs - this.searchedAtMs < GATE_SEARCH_DELAY_MS)
-      return;
+  /** Looks up the gates and the leader in the store, after a time without a leader. */
+  private searchGates(nowMs: number, isLinked: boolean): void {
+    const delayMs = isLinked
+      ? LINKED_GATE_SEARCH_DELAY_MS
+      : GATE_SEARCH_DELAY_MS;
+    if (this.isSearching || nowMs - this.searchedAtMs < delayMs) return;
     this.searchedAtMs = nowMs;
     this.isSearching = true;
     void this.readGates().finally(() => (this.isSearching = false));
@@ -281,14 +348,25 @@
 
   private async readGates(): Promise<void> {
     try {
-      const {rows} = await this.ctx.store.read('gate/', GATE_SEARCH_TIMEOUT_MS);
-      for (const row of rows)
+      const [gates, leader] = await Promise.all([
+        this.ctx.store.read(rowKeys.gate(''), GATE_SEARCH_TIMEOUT_MS),
+        this.ctx.store.read(rowKeys.leader, GATE_SEARCH_TIMEOUT_MS),
+      ]);
+      for (const row of gates.rows)
         if (row.value)
-          this.links.addAddresses([decodeGateRow(row.value).address]);
+          this.directory.addAddresses([decodeGateRow(row.value).address]);
+      const [leaderRow] = leader.rows;
+      if (leaderRow?.value) this.onLeaderRow(decodeLeaderRow(leaderRow.value));
     } catch (err) {
       this.log.logEvent('gatesNotRead', {reason: (err as Error).message});
     }
   }
+
+  private onLeaderRow(row: LeaderRow): void {
+    if (row.epoch < this.epoch) return;
+    this.recordLeader(row.epoch, leaderAddressOf(row));
+    this.log.logEvent('leaderRead', {epoch: row.epoch, gate: row.address});
+  }
 }
 
 /** Maximum age difference of reports awaiting answers on different links, in ms. */
--- a/src/core/rendezvous.ts
+++ b/src/core/rendezvous.ts
@@ -1,4 +1,4 @@
-/** Rendezvous hashing: every process picks the same list member for a key. */
+/** Rendezvous hashing: every process ranks the members of a list for a key equally. */
 
 /** Returns the member with the highest hash for a key; undefined for an empty list. */
 export function pickByRendezvous(
@@ -8,7 +8,7 @@
   let best: string | undefined;
   let bestHash = -1;
   for (const member of members) {
-    const hash = hashText(`${key}/${member}`);
+    const hash = rendezvousHash(key, member);
     if (hash <= bestHash) continue;
     best = member;
     bestHash = hash;
@@ -16,6 +16,11 @@
   return best;
 }
 
+/** Weight of a member for a key; the member with the highest weight comes first. */
+export function rendezvousHash(key: string, member: string): number {
+  return hashText(`${key}/${member}`);
+}
+
 /** 32-bit FNV-1a hash with a final mixing step. */
 function hashText(text: string): number {
   let hash = 0x811c9dc5;
--- a/src/gate/agent_server.ts
+++ b/src/gate/agent_server.ts
@@ -5,7 +5,8 @@
 import {Link, type LinkContext} from '../links/link.js';
 import {type ComponentLog} from '../plugins/event_log.js';
 import {
-  type AgentReport,
+  type AgentMessage,
+  type GateAnswer,
   type GateJobMessage,
   gateJobCodec,
 } from '../protocol/job_messages.js';
@@ -13,18 +14,19 @@
 /** Maximum size of a report, in bytes. */
 const MAX_REPORT_BYTES = 4 * 1024 * 1024;
 
-type AgentLink = Link<AgentReport, GateJobMessage>;
+type AgentLink = Link<AgentMessage, GateJobMessage>;
 
 export class AgentServer {
   private readonly server: WebSocketServer;
   private readonly links = new Set<AgentLink>();
   private readonly linkByAgent = new Map<string, AgentLink>();
+  private gates: readonly string[] = [];
 
   constructor(
     address: {readonly host: string; readonly port: number},
     private readonly ctx: LinkContext,
     private readonly log: ComponentLog,
-    private readonly onReport: (report: AgentReport) => GateJobMessage,
+    private readonly onMessage: (message: AgentMessage) => GateAnswer,
   ) {
     this.server = new WebSocketServer({
       ...address,
@@ -57,6 +59,11 @@
       this.linkByAgent.get(agent)?.send({type: 'orders', epoch, orders: list});
   }
 
+  /** Sets the link addresses of all known gates, which agents get with their next answer. */
+  setGates(gates: readonly string[]): void {
+    this.gates = gates;
+  }
+
   /** Sends a message to all connected agents. */
   broadcast(message: GateJobMessage): void {
     for (const link of this.linkByAgent.values()) link.send(message);
@@ -74,14 +81,18 @@
 
   private accept(ws: WebSocket): void {
     let agent: string | undefined;
+    let sentGates: readonly string[] | undefined;
     const link: AgentLink = new Link(ws, gateJobCodec, this.ctx, {
-      onMessage: report => {
+      onMessage: message => {
         if (agent === undefined) {
-          agent = report.agent;
+          agent = message.agent;
           this.linkByAgent.set(agent, link);
           this.log.logEvent('agentConnected', {agent});
         }
-        link.send(this.onReport(report));
+        const answer = this.onMessage(message);
+        const {gates} = this;
+        link.send(gates === sentGates ? answer : {...answer, gates});
+        sentGates = gates;
       },
       onClosed: reason => {
         this.links.delete(link);
--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -3,14 +3,16 @@
 import {HybridClock} from '../core/hybrid_clock.js';
 import {type Random} from '../core/random.js';
 import {JobIndex} from '../jobs/job_index.js';
-import {type JobTables, type Resources} from '../jobs/job.js';
-import {type EngineOptions} from '../jobs/job_engine.js';
+import {type JobTables} from '../jobs/job.js';
+import {type EngineOptions, type JobEngine} from '../jobs/job_engine.js';
 import {
   type GateRow,
+  type LeaderRow,
   type RowKind,
   decodeGateRow,
   decodeLeaderRow,
   encodeGateRow,
+  leaderAddressOf,
   parseRowKey,
   rowKeys,
 } from '../jobs/job_rows.js';
@@ -20,7 +22,11 @@
 import {type Metrics} from '../plugins/metrics.js';
 import {sleep} from '../plugins/sleep.js';
 import {type StateStore, type StoredRow} from '../ports/state_store.js';
-import {type AgentReport, type GateAnswer} from '../protocol/job_messages.js';
+import {
+  type AgentMessage,
+  type AgentReport,
+  type GateAnswer,
+} from '../protocol/job_messages.js';
 import {AgentServer} from './agent_server.js';
 import {JobService} from './job_service.js';
 import {RowFollower} from './row_follower.js';
@@ -73,16 +79,13 @@
   private readonly follower: RowFollower;
   private readonly agents: AgentServer;
   private readonly gates = new Map<string, GateRow>();
-  /** Latest reported worker service and capacity, by agent. */
-  private readonly capacities = new Map<
-    string,
-    {readonly service: string; readonly capacity: Resources}
-  >();
   private readonly log: ComponentLog;
   private ticker: NodeJS.Timeout | undefined;
   private readonly loopDelay: LoopDelayMonitor;
   private addressesCheckedAtMs = -Infinity;
   private linkAddress = '';
+  /** Epoch and holder that the linked agents were told last. */
+  private announcedLeader = '';
   private isStopping = false;
   private tables: JobTables | undefined;
 
@@ -120,7 +123,7 @@
       log: ctx.logs.forComponent('jobs'),
       metrics,
       freshAsOfMs: () => this.follower.freshAsOfMs,
-      capacities: () => this.capacitiesByService(),
+      capacities: () => this.jobIndex.capacities,
     });
     this.agents = new AgentServer(
       {host: options.linkHost, port: options.linkPort},
@@ -130,7 +133,7 @@
         timeoutMs: options.times.linkTimeoutMs,
       },
       ctx.logs.forComponent('agents'),
-      report => this.onReport(report),
+      message => this.onAgentMessage(message),
     );
   }
 
@@ -210,6 +213,7 @@
         log: logs.forComponent('seat'),
         metrics,
         incarnation: this.options.incarnation,
+        address: () => this.linkAddress,
         engineOptions,
         maxCommitIntervalMs:
           this.options.times.takeoverMs / COMMITS_PER_TAKEOVER_TIME,
@@ -260,17 +264,27 @@
       const leaderRow = decodeLeaderRow(row.value);
       this.election.observe({row: leaderRow, version: row.version}, nowMs);
       this.leaderRole.onEpoch(leaderRow.epoch);
+      this.announceLeader(leaderRow);
       return;
     }
     if (kind.kind === 'gate') {
       if (row.value) this.applyGateRow(kind.name, decodeGateRow(row.value));
       else this.gates.delete(kind.name);
+      this.agents.setGates([...this.gates.values()].map(g => g.address));
       return;
     }
     this.jobIndex.apply(kind, row);
     this.forwardToEngine(kind, nowMs);
   }
 
+  /** Tells the linked agents which gate leads, whenever that changes. */
+  private announceLeader({epoch, holder}: LeaderRow): void {
+    const announced = `${epoch} ${holder}`;
+    if (announced === this.announcedLeader) return;
+    this.announcedLeader = announced;
+    this.agents.broadcast(this.createAnswer(0));
+  }
+
   private applyGateRow(name: string, row: GateRow): void {
     this.gates.set(name, row);
     const isOwnRow = row.incarnation === this.options.incarnation;
@@ -293,26 +307,24 @@
     this.leaderRole.scheduleFlush();
   }
 
-  private onReport(report: AgentReport): GateAnswer {
-    const nowMs = this.ctx.clock.nowMs();
-    this.leaderRole.onEpoch(report.epoch);
-    const {inventory, agent} = report;
-    if (inventory) {
-      const {service, capacity} = inventory.worker;
-      this.capacities.set(agent, {service, capacity});
-    }
+  private onAgentMessage(message: AgentMessage): GateAnswer {
+    this.ctx.metrics.increment(`agent_${message.type}s`);
+    this.leaderRole.onEpoch(message.epoch);
     const {engine} = this.leaderRole;
-    if (engine) {
-      engine.recordContact(agent, nowMs);
-      for (const refusal of report.refusals)
-        engine.recordRefusal(refusal, nowMs);
-      if (report.lost)
-        engine.markWorkerLost(report.lost.worker, report.lost.reason, nowMs);
-      if (inventory) engine.recordInventory(agent, inventory, nowMs);
-      else engine.recordUnreachable(agent, nowMs);
-      this.leaderRole.scheduleFlush();
-    }
-    return this.createAnswer(report.sentAtMs);
+    // The answer may extend leases, so each answered message counts as contact.
+    engine?.recordContact(message.agent, this.ctx.clock.nowMs());
+    if (engine && message.type === 'report') this.applyReport(engine, message);
+    return this.createAnswer(message.sentAtMs);
+  }
+
+  private applyReport(engine: JobEngine, report: AgentReport): void {
+    const nowMs = this.ctx.clock.nowMs();
+    const {inventory, agent, refusals, lost} = report;
+    for (const refusal of refusals) engine.recordRefusal(refusal, nowMs);
+    if (lost) engine.markWorkerLost(lost.worker, lost.reason, nowMs);
+    if (inventory) engine.recordInventory(agent, inventory, nowMs);
+    else engine.recordUnreachable(agent, nowMs);
+    this.leaderRole.scheduleFlush();
   }
 
   private createAnswer(sentAtMs: number): GateAnswer {
@@ -322,15 +334,14 @@
       epoch: this.leaderRole.epoch,
       leads: this.isLeader,
       extendsLeases: this.isLeader && this.leaderRole.isLeadershipCertain,
-      gates: [...this.gates.values()].map(g => g.address),
+      leaderAddress: this.leaderAddress,
     };
   }
 
-  private capacitiesByService(): Map<string, Resources[]> {
-    const byService = new Map<string, Resources[]>();
-    for (const {service, capacity} of this.capacities.values())
-      byService.set(service, [...(byService.get(service) ?? []), capacity]);
-    return byService;
+  private get leaderAddress(): string | undefined {
+    if (this.leaderRole.isElected) return this.linkAddress;
+    const {observedRow} = this.election;
+    return observedRow && leaderAddressOf(observedRow.row);
   }
 
   /** Writes the gate's address row and removes rows of terminated gates. */
--- a/src/gate/leader_role.ts
+++ b/src/gate/leader_role.ts
@@ -49,6 +49,8 @@
   readonly metrics: Metrics;
   /** Incarnation of this process. */
   readonly incarnation: string;
+  /** Link address of this process for agents. */
+  readonly address: () => string;
   readonly engineOptions: EngineOptions;
   /** Maximum time between commits, in ms. An idle leader still commits the leader row. */
   readonly maxCommitIntervalMs: number;
@@ -95,6 +97,11 @@
     return this.term?.engine;
   }
 
+  /** Whether this process holds the leadership, even if it has not read all rows yet. */
+  get isElected(): boolean {
+    return this.term !== undefined;
+  }
+
   get epoch(): number {
     return this.term?.epoch ?? this.election.epoch;
   }
@@ -220,7 +227,7 @@
     while (this.isCommitting) await sleep(COMMIT_RETRY_DELAY_MS);
     if (this.term !== term) return;
     this.term = undefined;
-    const row = {epoch: term.epoch, holder: '', commit: term.commit + 1};
+    const row = {...this.makeRow(term.epoch, term.commit + 1), holder: ''};
     const result = await this.writeLeaderRow(row, term.version, {
       puts: [],
       removes: [],
@@ -239,11 +246,7 @@
   private async takeOver(): Promise<void> {
     this.isTakingOver = true;
     const {observedRow: current} = this.election;
-    const row: LeaderRow = {
-      epoch: this.election.epoch + 1,
-      holder: this.ctx.incarnation,
-      commit: 0,
-    };
+    const row = this.makeRow(this.election.epoch + 1, 0);
     const version = current?.version ?? 0;
     const empty = {puts: [], removes: [], orders: []};
     const sentAt = readClocks(this.ctx.clock);
@@ -269,11 +272,7 @@
   private async commit(term: LeadershipTerm, batch: Batch): Promise<void> {
     this.isCommitting = true;
     const start = readClocks(this.ctx.clock);
-    const row: LeaderRow = {
-      epoch: term.epoch,
-      holder: this.ctx.incarnation,
-      commit: term.commit + 1,
-    };
+    const row = this.makeRow(term.epoch, term.commit + 1);
     while (this.term === term) {
       const result = await this.writeLeaderRow(row, term.version, batch);
       const version = committedVersion(result, row);
@@ -335,6 +334,11 @@
     if (orders.length > 0) this.handlers.onOrders(term.epoch, orders);
   }
 
+  private makeRow(epoch: number, commit: number): LeaderRow {
+    const {incarnation, address} = this.ctx;
+    return {epoch, holder: incarnation, commit, address: address()};
+  }
+
   private writeLeaderRow(
     row: LeaderRow,
     version: number,
--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -34,12 +34,14 @@
 } from './planner.js';
 import {type PlanInput} from './planning_pass.js';
 import {RunTimeEstimates} from './run_time_estimates.js';
+import {ServiceCapacities} from './service_capacities.js';
 import {isStalled} from './run_progress.js';
 import {
   JobResult,
   TaskState,
   blockRowKey,
   encodeBlock,
+  encodeCapacities,
   encodeJobResult,
   rowKeys,
 } from './job_rows.js';
@@ -47,6 +49,7 @@
   WorkerPool,
   TrackedWorker,
   WorkerKeyIndex,
+  type WorkerReport,
   agentOf,
   bornMsOf,
   workerKey,
@@ -118,6 +121,7 @@
   private readonly planner = new Planner();
   private readonly failureTracker = new FailureTracker();
   private readonly runTimes = new RunTimeEstimates();
+  private readonly capacities = new ServiceCapacities();
   private readonly dirtyRows = new Map<string, () => Uint8Array>();
   private readonly rowsToRemove = new Set<string>();
   private readonly expiredJobIds = new Set<string>();
@@ -134,6 +138,7 @@
 
   /** Restores the state of the previous leader from its rows. */
   restore(jobIndex: JobIndex, nowMs: number, wallMs: number): void {
+    this.capacities.restore(jobIndex.capacities);
     for (const [id, entry] of jobIndex.jobs)
       this.loadJob(id, entry, nowMs, wallMs);
     for (const key of this.placedByWorker.keys())
@@ -177,6 +182,7 @@
     this.recordContact(agent, nowMs);
     const trackedWorker = this.getOrAddWorker(agent, key, inventory);
     trackedWorker.update(worker);
+    this.recordCapacity(worker);
     this.recordEnds(agent, key, ends, nowMs);
     this.recordRuns(key, runs, nowMs);
     const known = new Map(runs.map(r => [`${r.task}#${r.run}`, r]));
@@ -193,6 +199,13 @@
     }
   }
 
+  private recordCapacity({service, capacity}: WorkerReport): void {
+    if (!this.capacities.add(service, capacity)) return;
+    this.dirtyRows.set(rowKeys.capacities(service), () =>
+      encodeCapacities(this.capacities.of(service)),
+    );
+  }
+
   /** Blocks the worker for a while, since its agent can't currently reach it. */
   recordUnreachable(agent: string, nowMs: number): void {
     for (const worker of this.pool.ofAgent(agent))
--- a/src/jobs/job_index.ts
+++ b/src/jobs/job_index.ts
@@ -4,13 +4,14 @@
  */
 import {getOrAdd} from '../core/fair_queue.js';
 import {type StoredRow} from '../ports/state_store.js';
-import {type JobSpec, JobState} from './job.js';
+import {type JobSpec, JobState, type Resources} from './job.js';
 import {
   type JobResult,
   type RowKind,
   type TaskRecord,
   blockKey,
   decodeBlock,
+  decodeCapacities,
   decodeJobResult,
   decodeJob,
 } from './job_rows.js';
@@ -43,6 +44,8 @@
 
 export class JobIndex {
   readonly jobs = new Map<string, JobEntry>();
+  /** Largest worker capacities of each service, as the leader stored them. */
+  readonly capacities = new Map<string, readonly Resources[]>();
 
   /** State of a job; undefined when there is none. */
   stateOf(id: string): JobState | undefined {
@@ -63,6 +66,11 @@
   /** Applies one row; ignores leader and gate rows. Throws on undecodable bytes. */
   apply(kind: RowKind, row: StoredRow): void {
     if (kind.kind === 'seat' || kind.kind === 'gate') return;
+    if (kind.kind === 'capacities') {
+      if (row.value)
+        this.capacities.set(kind.service, decodeCapacities(row.value));
+      return;
+    }
     const id = kind.kind === 'run' ? kind.ref.job : kind.job;
     if (row.value === undefined) {
       if (kind.kind === 'job') this.jobs.delete(id);
@@ -79,5 +87,6 @@
 
   clear(): void {
     this.jobs.clear();
+    this.capacities.clear();
   }
 }
--- a/src/jobs/job_rows.ts
+++ b/src/jobs/job_rows.ts
@@ -3,7 +3,7 @@
 import * as z from 'zod';
 import {ProtocolError} from '../core/errors.js';
 import {pickByRendezvous} from '../core/rendezvous.js';
-import {type JobSpec} from './job.js';
+import {type JobSpec, type Resources} from './job.js';
 
 /** State of a task as stored. */
 export const TaskState = {
@@ -62,6 +62,7 @@
 export const rowKeys = {
   leader: 'seat',
   gate: (name: string): string => `gate/${name}`,
+  capacities: (service: string): string => `capacities/${service}`,
   job: (id: string): string => `job/${id}`,
   cancellation: (id: string): string => `cancel/${id}`,
   jobResult: (id: string): string => `fate/${id}`,
@@ -71,6 +72,7 @@
 export type RowKind =
   | {readonly kind: 'seat'}
   | {readonly kind: 'gate'; readonly name: string}
+  | {readonly kind: 'capacities'; readonly service: string}
   | {readonly kind: 'job'; readonly job: string}
   | {readonly kind: 'cancel'; readonly job: string}
   | {readonly kind: 'fate'; readonly job: string}
@@ -83,6 +85,7 @@
   const kind = key.slice(0, slash);
   const name = key.slice(slash + 1);
   if (kind === 'gate') return {kind, name};
+  if (kind === 'capacities') return {kind, service: name};
   if (kind === 'job' || kind === 'cancel' || kind === 'fate')
     return {kind, job: name};
   if (kind !== 'run') return undefined;
@@ -230,12 +233,20 @@
   readonly holder: string;
   /** Number of the leader's commit, which makes each write of the row distinct. */
   readonly commit: number;
+  /** Link address of the leader. */
+  readonly address: string;
+}
+
+/** Link address of the current leader; undefined if it has stepped down. */
+export function leaderAddressOf(row: LeaderRow): string | undefined {
+  return row.holder === '' || row.address === '' ? undefined : row.address;
 }
 
 const leaderRowSchema = z.object({
   epoch: z.number(),
   holder: z.string(),
   commit: z.number(),
+  address: z.string().default(''), // absent in rows of earlier versions
 });
 
 export function encodeLeaderRow(row: LeaderRow): Uint8Array {
@@ -267,6 +278,17 @@
   return decode('gate', value, gateSchema);
 }
 
+const capacitiesSchema = z.array(resourcesSchema);
+
+/** Encodes the largest worker capacities of a service. */
+export function encodeCapacities(capacities: readonly Resources[]): Uint8Array {
+  return packr.pack(capacities);
+}
+
+export function decodeCapacities(value: Uint8Array): Resources[] {
+  return decode('capacities', value, capacitiesSchema);
+}
+
 /** Encodes the cancellation row; its version decides if it preceded the job's end. */
 export function encodeCancellation(): Uint8Array {
   return packr.pack(true);
--- a/src/plugins/metrics.ts
+++ b/src/plugins/metrics.ts
@@ -14,6 +14,10 @@
     this.counters.set(name, (this.counters.get(name) ?? 0) + amount);
   }
 
+  counterValue(name: string): number {
+    return this.counters.get(name) ?? 0;
+  }
+
   /** Records a duration in ms. */
   recordDuration(name: string, ms: number): void {
     let histogram = this.histograms.get(name);
--- a/src/protocol/job_messages.ts
+++ b/src/protocol/job_messages.ts
@@ -101,28 +101,53 @@
   readonly lost?: LostWorker;
 }
 
-const reportSchema: z.ZodType<AgentReport> = z.object({
-  type: z.literal('report'),
-  agent: boundedText,
-  sentAtMs: z.number(),
-  epoch: nonNegativeInteger,
-  inventory: inventorySchema.optional(),
-  refusals: z.array(refusalSchema),
-  lost: z.object({worker: boundedText, reason: boundedText}).optional(),
-});
+/** Heartbeat of an agent on the link to a gate that does not lead. */
+export interface AgentProbe {
+  readonly type: 'probe';
+  readonly agent: string;
+  /** Time of sending on the agent's clock, in ms; returned in the reply. */
+  readonly sentAtMs: number;
+  /** Highest epoch that the agent has received. */
+  readonly epoch: number;
+}
+
+export type AgentMessage = AgentReport | AgentProbe;
 
-/** A gate's reply to a report. */
+const agentMessageSchema: z.ZodType<AgentMessage> = z.discriminatedUnion(
+  'type',
+  [
+    z.object({
+      type: z.literal('report'),
+      agent: boundedText,
+      sentAtMs: z.number(),
+      epoch: nonNegativeInteger,
+      inventory: inventorySchema.optional(),
+      refusals: z.array(refusalSchema),
+      lost: z.object({worker: boundedText, reason: boundedText}).optional(),
+    }),
+    z.object({
+      type: z.literal('probe'),
+      agent: boundedText,
+      sentAtMs: z.number(),
+      epoch: nonNegativeInteger,
+    }),
+  ],
+);
+
+/** A gate's reply to a report or a probe; also sent when the leader changes. */
 export interface GateAnswer {
   readonly type: 'answer';
-  /** `sentAtMs` of the report. */
+  /** `sentAtMs` of the message that is answered; 0 if there is none. */
   readonly sentAtMs: number;
   readonly epoch: number;
   /** The gate considers itself the leader. */
   readonly leads: boolean;
   /** The agent may extend leases: no other gate can have become the leader yet. */
   readonly extendsLeases: boolean;
-  /** Link addresses of all known gates. */
-  readonly gates: readonly string[];
+  /** Link address of the leader of this epoch; absent if there is none. */
+  readonly leaderAddress?: string;
+  /** Link addresses of all known gates; absent if unchanged since they were last sent. */
+  readonly gates?: readonly string[];
 }
 
 /** Orders of the leader. */
@@ -143,7 +168,8 @@
       epoch: nonNegativeInteger,
       leads: z.boolean(),
       extendsLeases: z.boolean(),
-      gates: z.array(boundedText),
+      leaderAddress: boundedText.optional(),
+      gates: z.array(boundedText).optional(),
     }),
     z.object({
       type: z.literal('orders'),
@@ -153,7 +179,10 @@
   ],
 );
 
-const reportEnvelopeSchema = z.object({stamp: stampSchema, body: reportSchema});
+const agentEnvelopeSchema = z.object({
+  stamp: stampSchema,
+  body: agentMessageSchema,
+});
 const gateEnvelopeSchema = z.object({
   stamp: stampSchema,
   body: gateMessageSchema,
@@ -163,13 +192,13 @@
 export const gateJobCodec = {
   encode: (envelope: Envelope<GateJobMessage>): Uint8Array =>
     encodeMessage(envelope),
-  decode: (data: Uint8Array): Envelope<AgentReport> =>
-    decodeMessage(data, reportEnvelopeSchema),
+  decode: (data: Uint8Array): Envelope<AgentMessage> =>
+    decodeMessage(data, agentEnvelopeSchema),
 };
 
 /** Codec for the agent side of a link to a gate. */
 export const agentJobCodec = {
-  encode: (envelope: Envelope<AgentReport>): Uint8Array =>
+  encode: (envelope: Envelope<AgentMessage>): Uint8Array =>
     encodeMessage(envelope),
   decode: (data: Uint8Array): Envelope<GateJobMessage> =>
     decodeMessage(data, gateEnvelopeSchema),
--- a/tests/features/job_recovery.feature
+++ b/tests/features/job_recovery.feature
@@ -36,6 +36,35 @@
     And no task was started twice
     And no invariant of runs is violated
 
+  # Guards against agents that keep links to the first gates they heard of, and to no other.
+  Scenario: A gate that joined last takes over from the leader
+    Given another gate takes over only after 60000 ms
+    And 14 gates and 3 agents whose tasks run 300 ms
+    And a gate joins that takes over after 400 ms
+    When 3 jobs of 2 tasks are submitted
+    And the leader crashes
+    And 3 jobs of 2 tasks are submitted
+    Then all jobs are completed
+    And no invariant of runs is violated
+
+  # Guards against recovery that depends on a gate or an agent that lived through the fault.
+  Scenario Outline: Many processes are killed at the same moment
+    Given <gates> gates and <agents> agents whose tasks run 800 ms
+    When 6 jobs of 8 tasks are submitted
+    And 8 tasks are running
+    And <killed> are killed and restarted <times>
+    Then a waiting task is started, and the time to it is recorded
+    And all jobs are completed
+    And no task was started twice
+    And no invariant of runs is violated
+
+    Examples:
+      | gates | agents | killed                          | times          |
+      | 5     | 4      | all gates                       | once           |
+      | 5     | 4      | all gates and half of the agents | once           |
+      | 5     | 4      | all gates and half of the agents | twice in a row |
+      | 5     | 4      | all gates and all agents        | twice in a row |
+
   Scenario: A leader that shuts down is replaced at once
     Given 2 gates and 2 agents whose tasks run 800 ms
     When 4 jobs of 2 tasks are submitted
@@ -204,6 +233,12 @@
     When a job requests 64 accelerators for one task
     Then it is rejected as invalid and not stored
 
+  # Guards against gates that judge submissions by the few agents that are linked to them.
+  Scenario: Each gate knows the largest workers, whichever agents are linked to it
+    Given 6 gates and 1 agents whose tasks run 100 ms
+    When a job requests 64 accelerators for one task
+    Then each gate rejects it as invalid and does not store it
+
   Scenario: Random histories of faults violate no invariant
     Then 400 random histories of leaders, agents, workers and orders violate no invariant
 
--- /dev/null
+++ b/tests/steps/gate_link_steps.ts
@@ -0,0 +1,88 @@
+/** Steps on the gates to which agents keep links. */
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {GateDirectory} from '../../src/agent/gate_directory.js';
+import {STANDBY_LINKS} from '../../src/agent/gate_links.js';
+
+const SEED_COUNT = 3;
+/** Interval between attempts to open a link, in ms. */
+const ATTEMPT_INTERVAL_MS = 300;
+
+let directories: GateDirectory[] = [];
+let addresses: string[] = [];
+let nowMs = 0;
+
+/** Fails the selected links to lost gates until all agents have live ones, or time is up. */
+function loseGates(lost: ReadonlySet<string>, forMs: number): void {
+  for (const endMs = nowMs + forMs; nowMs < endMs; nowMs += ATTEMPT_INTERVAL_MS)
+    for (const directory of directories)
+      for (const address of directory.selectLinks(nowMs))
+        if (lost.has(address)) directory.recordFailure(address, nowMs);
+}
+
+Given(
+  '{int} agents that know {int} gates',
+  (agentCount: number, gateCount: number) => {
+    addresses = Array.from(
+      {length: gateCount},
+      (unused, i) => `10.1.0.${i + 10}:7000`,
+    );
+    directories = Array.from({length: agentCount}, (unused, i) => {
+      const seeds = addresses.slice(0, SEED_COUNT);
+      const directory = new GateDirectory(`agent-${i}`, seeds, STANDBY_LINKS);
+      directory.addAddresses(addresses);
+      return directory;
+    });
+    nowMs = 0;
+  },
+);
+
+Then('each agent selects links to {int} gates', (links: number) => {
+  for (const directory of directories)
+    assert.equal(new Set(directory.selectLinks(nowMs)).size, links);
+});
+
+Then('no gate is selected by more than {int} agents', (most: number) => {
+  const selected = directories.flatMap(d => d.selectLinks(nowMs));
+  for (const address of addresses)
+    assert.ok(selected.filter(a => a === address).length <= most, address);
+});
+
+Then(
+  'each agent selects the leader first as each of the gates leads in turn',
+  () => {
+    for (const leader of addresses)
+      for (const directory of directories) {
+        directory.leaderAddress = leader;
+        const selected = directory.selectLinks(nowMs);
+        assert.equal(selected[0], leader);
+        assert.equal(new Set(selected).size, STANDBY_LINKS + 1);
+      }
+  },
+);
+
+When('{int} of the gates are lost', (count: number) =>
+  loseGates(new Set(addresses.slice(0, count)), 10_000),
+);
+
+When('all gates are lost for {int} ms', (ms: number) =>
+  loseGates(new Set(addresses), ms),
+);
+
+Then(
+  'each agent selects links to {int} gates that are left',
+  (links: number) => {
+    const left = new Set(addresses.slice(-5));
+    for (const directory of directories) {
+      const selected = directory.selectLinks(nowMs);
+      assert.equal(selected.length, links);
+      for (const address of selected) assert.ok(left.has(address), address);
+    }
+  },
+);
+
+Then('each agent still selects its seed gates', () => {
+  const seeds = addresses.slice(0, SEED_COUNT);
+  for (const directory of directories)
+    assert.deepEqual(directory.selectLinks(nowMs).sort(), [...seeds].sort());
+});
--- a/tests/steps/leadership_steps.ts
+++ b/tests/steps/leadership_steps.ts
@@ -90,6 +90,7 @@
         log: log.forComponent('seat'),
         metrics: new Metrics(),
         incarnation: 'gate-0-1',
+        address: () => '127.0.0.1:7000',
         engineOptions: {
           contactTimeoutMs: 10_000,
           endedJobRetentionMs: 60_000,
