--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -6,10 +6,11 @@
   type LeaderRow,
   decodeGateRow,
   decodeLeaderRow,
+  encodeDeparture,
   leaderAddressOf,
   rowKeys,
 } from '../jobs/job_rows.js';
-import {type WorkerReport} from '../jobs/worker_pool.js';
+import {type WorkerReport, workerKey} from '../jobs/worker_pool.js';
 import {type EventLog, type ComponentLog} from '../plugins/event_log.js';
 import {LoopDelayMonitor} from '../plugins/loop_delay_monitor.js';
 import {type Metrics} from '../plugins/metrics.js';
@@ -38,6 +39,7 @@
 /** The same while a gate is linked, which would announce a new leader, in ms. */
 const LINKED_GATE_SEARCH_DELAY_MS = 3500; // a takeover takes up to 2.5 s
 const GATE_SEARCH_TIMEOUT_MS = 1500;
+const DEPARTURE_WRITE_TIMEOUT_MS = 3000;
 
 export interface JobAgentOptions {
   readonly name: string;
@@ -72,6 +74,8 @@
    * reachable again, because a leader may terminate before it records the loss.
    */
   private lost: LostWorker | undefined;
+  /** Key of the worker that terminated last; late heartbeats of it are ignored. */
+  private departedWorker: string | undefined;
   private epoch = 0;
   /** Link address of the gate that answered as leader; undefined if there is none. */
   private leaderAddress: string | undefined;
@@ -128,6 +132,11 @@
   /** Records a heartbeat of the worker; returns false if an older incarnation sent it. */
   recordHeartbeat(report: WorkerReport): boolean {
     const {driver} = this;
+    if (
+      workerKey(this.options.name, report.id, report.bornMs) ===
+      this.departedWorker
+    )
+      return false;
     const isSame = driver?.id === report.id && driver.bornMs === report.bornMs;
     if (driver && !isSame && report.bornMs < driver.bornMs) return false;
     if (!driver || !isSame) this.startDriver(report);
@@ -140,9 +149,8 @@
   /** Records that the worker reported its own termination. */
   recordWorkerExit(workerId: string): void {
     const {driver} = this;
-    if (driver?.id !== workerId) return;
-    this.log.logEvent('workerLeft', {worker: driver.key});
-    this.discardDriver(driver, 'the worker left');
+    if (driver?.id === workerId)
+      this.recordDeparture(driver, 'the worker announced its end');
   }
 
   /** Stops the agent but not the worker's runs; the next agent process adopts them. */
@@ -167,6 +175,8 @@
       epoch: () => this.epoch,
       onStatusChange: () => this.scheduleReport(),
       onOtherIncarnation: () => this.onOtherIncarnation(driver),
+      onDeparture: () =>
+        this.recordDeparture(driver, 'the draining worker is not running'),
     });
     this.driver = driver;
     this.log.logEvent('workerFound', {worker: driver.key, epoch: this.epoch});
@@ -179,6 +189,31 @@
     this.discardDriver(driver, 'another incarnation answered');
   }
 
+  private recordDeparture(driver: WorkerDriver, reason: string): void {
+    if (this.driver !== driver) return;
+    this.log.logEvent('workerLeft', {worker: driver.key, reason});
+    this.departedWorker = driver.key;
+    this.discardDriver(driver, reason);
+    void this.storeDeparture(driver.key);
+  }
+
+  /**
+   * Stores that a worker has terminated. There may be no leader at present, and this
+   * process may end with its instance before there is one.
+   */
+  private async storeDeparture(worker: string): Promise<void> {
+    const value = encodeDeparture(this.ctx.clock.wallMs());
+    const result = await this.ctx.store.transact(
+      {
+        expect: [],
+        put: [{key: rowKeys.departure(worker), value}],
+        remove: [],
+      },
+      DEPARTURE_WRITE_TIMEOUT_MS,
+    );
+    this.log.logEvent('departureStored', {worker, result: result.type});
+  }
+
   private discardDriver(driver: WorkerDriver, reason: string): void {
     driver.close();
     this.driver = undefined;
--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -18,6 +18,7 @@
   type StartReply,
   type TaskWorker,
 } from '../ports/task_worker.js';
+import {DepartureDetector} from './departure_detector.js';
 import {type LeaseRenewer} from './lease_renewer.js';
 import {RunTable} from './run_table.js';
 
@@ -46,11 +47,14 @@
   readonly onStatusChange: () => void;
   /** Called when another incarnation answers at the worker's address. */
   readonly onOtherIncarnation: () => void;
+  /** Called when the worker has terminated as it had announced. */
+  readonly onDeparture: () => void;
 }
 
 export class WorkerDriver {
   readonly key: string;
   private readonly table: RunTable;
+  private readonly departure = new DepartureDetector();
   private report: WorkerReport;
   private lastAnswerAtMs: number;
   private isClosed = false;
@@ -68,12 +72,20 @@
     this.key = workerKey(agent, report.id, report.bornMs);
     this.table = new RunTable(this.key);
     this.lastAnswerAtMs = ctx.clock.nowMs();
+    this.departure.recordHeartbeat(report, this.lastAnswerAtMs);
     void this.poll();
   }
 
   /** Applies a heartbeat; returns false if it contains nothing new. */
   update(report: WorkerReport): boolean {
     const hasChanged = !isDeepStrictEqual(report, this.report);
+    this.departure.recordHeartbeat(report, this.ctx.clock.nowMs());
+    if (report.draining && !this.report.draining)
+      this.ctx.log.logEvent('workerDrains', {
+        worker: this.key,
+        remainingMs: report.drainRemainingMs,
+        runs: this.table.runs().length,
+      });
     this.report = report;
     return hasChanged;
   }
@@ -254,12 +266,25 @@
       },
       waitMs + CALL_TIMEOUT_MS,
     );
-    if (reply.type === 'unanswered' || reply.type === 'unreachable')
-      this.consecutiveUnansweredCalls++;
-    else this.consecutiveUnansweredCalls = 0;
+    this.recordRenewal(reply);
     return !this.isClosed && this.applyReply(reply, requestedAtMs);
   }
 
+  private recordRenewal({type}: RenewReply): void {
+    const {log, clock, onDeparture} = this.ctx;
+    const nowMs = clock.nowMs();
+    const silentCalls = this.consecutiveUnansweredCalls;
+    const isSilent =
+      type === 'unanswered' || type === 'unreachable' || type === 'refused';
+    this.consecutiveUnansweredCalls = isSilent ? silentCalls + 1 : 0;
+    if (isSilent && silentCalls === 0)
+      log.logEvent('workerSilent', {worker: this.key, reason: type});
+    if (!isSilent && silentCalls > 0)
+      log.logEvent('workerAnswers', {worker: this.key, silentCalls});
+    this.departure.recordCall(type === 'refused', nowMs);
+    if (!this.isClosed && this.departure.hasLeft(nowMs)) onDeparture();
+  }
+
   /**
    * Whether a renewal may extend the lease. An unanswered renewal may still be carried
    * out, so no extension is requested while the worker does not answer. Otherwise the
--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -37,6 +37,10 @@
 /** Age at which another gate's address row is removed, in ms. */
 const ADDRESS_MAX_AGE_MS = 60_000; // far longer than jumps of the wall clock
 const ADDRESS_WRITE_TIMEOUT_MS = 3000;
+/** Age at which the record of a terminated worker is removed, in ms. */
+const DEPARTURE_MAX_AGE_MS = 60_000; // far longer than leases and jumps of the wall clock
+/** Maximum number of such records that one transaction removes. */
+const MAX_REMOVED_DEPARTURES = 50;
 /** Commits of an idle leader within the takeover time. */
 const COMMITS_PER_TAKEOVER_TIME = 4; // tolerates two lost commits in a row
 
@@ -303,7 +307,10 @@
       if (this.jobIndex.jobs.get(kind.job)?.isCancelled)
         engine.cancelJob(kind.job, nowMs);
     } else if (kind.kind === 'cancel') engine.cancelJob(kind.job, nowMs);
-    else return;
+    else if (kind.kind === 'departure') {
+      if (this.jobIndex.departures.has(kind.worker))
+        engine.recordDeparture(kind.worker, nowMs);
+    } else return;
     this.leaderRole.scheduleFlush();
   }
 
@@ -344,7 +351,15 @@
     return observedRow && leaderAddressOf(observedRow.row);
   }
 
-  /** Writes the gate's address row and removes rows of terminated gates. */
+  /** Rows about workers that terminated so long ago that no run is recorded there. */
+  private expiredDepartures(wallMs: number): string[] {
+    return [...this.jobIndex.departures]
+      .filter(([, writtenMs]) => wallMs - writtenMs > DEPARTURE_MAX_AGE_MS)
+      .slice(0, MAX_REMOVED_DEPARTURES)
+      .map(([worker]) => rowKeys.departure(worker));
+  }
+
+  /** Writes the gate's address row and removes rows of terminated gates and workers. */
   private async writeAddress(nowMs: number): Promise<void> {
     this.addressesCheckedAtMs = nowMs;
     const {name, incarnation} = this.options;
@@ -357,13 +372,14 @@
     const stale = [...this.gates].filter(
       ([n, g]) => n !== name && wallMs - g.writtenWallMs > ADDRESS_MAX_AGE_MS,
     );
-    if (isCurrent && stale.length === 0) return;
+    const departures = this.isLeader ? this.expiredDepartures(wallMs) : [];
+    if (isCurrent && stale.length + departures.length === 0) return;
     const row = {address: this.linkAddress, incarnation, writtenWallMs: wallMs};
     const result = await this.ctx.store.transact(
       {
         expect: [],
         put: [{key: rowKeys.gate(name), value: encodeGateRow(row)}],
-        remove: stale.map(([n]) => rowKeys.gate(n)),
+        remove: [...stale.map(([n]) => rowKeys.gate(n)), ...departures],
       },
       ADDRESS_WRITE_TIMEOUT_MS,
     );
--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -122,6 +122,7 @@
   private readonly failureTracker = new FailureTracker();
   private readonly runTimes = new RunTimeEstimates();
   private readonly capacities = new ServiceCapacities();
+  private readonly departedWorkers = new Set<string>();
   private readonly dirtyRows = new Map<string, () => Uint8Array>();
   private readonly rowsToRemove = new Set<string>();
   private readonly expiredJobIds = new Set<string>();
@@ -143,6 +144,8 @@
       this.loadJob(id, entry, nowMs, wallMs);
     for (const key of this.placedByWorker.keys())
       this.lastContactMs.set(agentOf(key), nowMs);
+    for (const key of jobIndex.departures.keys())
+      this.recordDeparture(key, nowMs);
     this.preemptsFromMs = nowMs + PREEMPTION_DELAY_MS;
   }
 
@@ -165,6 +168,12 @@
     this.log({event: 'jobCancelled', job: id});
   }
 
+  /** Records that a worker terminated, as its agent stored. */
+  recordDeparture(key: string, nowMs: number): void {
+    this.departedWorkers.add(key);
+    this.markWorkerLost(key, 'its agent stored that it terminated', nowMs);
+  }
+
   /** Records contact with an agent, so that its runs still count as alive. */
   recordContact(agent: string, nowMs: number): void {
     this.lastContactMs.set(agent, nowMs);
@@ -177,6 +186,7 @@
   ): void {
     const {worker, runs, ends} = inventory;
     const key = workerKey(agent, worker.id, worker.bornMs);
+    if (this.departedWorkers.has(key)) return;
     if (!this.markOlderIncarnationsLost(agent, key, worker.bornMs, nowMs))
       return;
     this.recordContact(agent, nowMs);
--- a/src/jobs/job_index.ts
+++ b/src/jobs/job_index.ts
@@ -12,6 +12,7 @@
   blockKey,
   decodeBlock,
   decodeCapacities,
+  decodeDeparture,
   decodeJobResult,
   decodeJob,
 } from './job_rows.js';
@@ -46,6 +47,8 @@
   readonly jobs = new Map<string, JobEntry>();
   /** Largest worker capacities of each service, as the leader stored them. */
   readonly capacities = new Map<string, readonly Resources[]>();
+  /** Keys of terminated workers, with the wall time in ms at which that was stored. */
+  readonly departures = new Map<string, number>();
 
   /** State of a job; undefined when there is none. */
   stateOf(id: string): JobState | undefined {
@@ -71,6 +74,12 @@
         this.capacities.set(kind.service, decodeCapacities(row.value));
       return;
     }
+    if (kind.kind === 'departure') {
+      if (row.value)
+        this.departures.set(kind.worker, decodeDeparture(row.value));
+      else this.departures.delete(kind.worker);
+      return;
+    }
     const id = kind.kind === 'run' ? kind.ref.job : kind.job;
     if (row.value === undefined) {
       if (kind.kind === 'job') this.jobs.delete(id);
@@ -88,5 +97,6 @@
   clear(): void {
     this.jobs.clear();
     this.capacities.clear();
+    this.departures.clear();
   }
 }
--- a/src/jobs/job_rows.ts
+++ b/src/jobs/job_rows.ts
@@ -63,6 +63,7 @@
   leader: 'seat',
   gate: (name: string): string => `gate/${name}`,
   capacities: (service: string): string => `capacities/${service}`,
+  departure: (worker: string): string => `departure/${worker}`,
   job: (id: string): string => `job/${id}`,
   cancellation: (id: string): string => `cancel/${id}`,
   jobResult: (id: string): string => `fate/${id}`,
@@ -73,6 +74,7 @@
   | {readonly kind: 'seat'}
   | {readonly kind: 'gate'; readonly name: string}
   | {readonly kind: 'capacities'; readonly service: string}
+  | {readonly kind: 'departure'; readonly worker: string}
   | {readonly kind: 'job'; readonly job: string}
   | {readonly kind: 'cancel'; readonly job: string}
   | {readonly kind: 'fate'; readonly job: string}
@@ -86,6 +88,7 @@
   const name = key.slice(slash + 1);
   if (kind === 'gate') return {kind, name};
   if (kind === 'capacities') return {kind, service: name};
+  if (kind === 'departure') return {kind, worker: name};
   if (kind === 'job' || kind === 'cancel' || kind === 'fate')
     return {kind, job: name};
   if (kind !== 'run') return undefined;
@@ -289,6 +292,18 @@
   return decode('capacities', value, capacitiesSchema);
 }
 
+const departureSchema = z.object({writtenWallMs: z.number()});
+
+/** Encodes the row in which an agent records that its worker has terminated. */
+export function encodeDeparture(writtenWallMs: number): Uint8Array {
+  return packr.pack({writtenWallMs});
+}
+
+/** Returns when the row was written, in ms since the Unix epoch. */
+export function decodeDeparture(value: Uint8Array): number {
+  return decode('departure', value, departureSchema).writtenWallMs;
+}
+
 /** Encodes the cancellation row; its version decides if it preceded the job's end. */
 export function encodeCancellation(): Uint8Array {
   return packr.pack(true);
--- a/src/ports/task_worker.ts
+++ b/src/ports/task_worker.ts
@@ -92,6 +92,8 @@
     }
   | {readonly type: 'fenced'}
   | {readonly type: 'otherIncarnation'}
+  /** No process listens at the worker's address. */
+  | {readonly type: 'refused'}
   | {readonly type: 'unreachable'}
   | {readonly type: 'unanswered'};
 
--- a/standins/task_worker.ts
+++ b/standins/task_worker.ts
@@ -62,6 +62,8 @@
 export interface TaskWorkerFaults {
   /** Calls are not carried out and time out. */
   isUnresponsive: boolean;
+  /** The worker has terminated, and calls to it are refused. */
+  isTerminated: boolean;
   /** Number of upcoming starts that time out and are carried out after a delay. */
   delayedStarts: number;
   /** Delay of such starts, in ms. */
@@ -75,6 +77,7 @@
 export class StandInTaskWorker extends TaskWorker {
   readonly faults: TaskWorkerFaults = {
     isUnresponsive: false,
+    isTerminated: false,
     delayedStarts: 0,
     startDelayMs: 0,
     lostResponses: 0,
@@ -113,6 +116,13 @@
     this.bornMs++;
   }
 
+  /** Ends all runs without listing their ends; later calls are refused. */
+  terminate(): void {
+    this.faults.isTerminated = true;
+    for (const run of this.runs.values()) this.monitor.recordEnd(run.task);
+    this.runs.clear();
+  }
+
   get runningTasks(): string[] {
     return [...this.runs.values()].map(r => r.task);
   }
@@ -122,6 +132,7 @@
     req: StartRequest,
     timeoutMs: number,
   ): Promise<StartReply> {
+    if (this.faults.isTerminated) return {type: 'unreachable'};
     if (this.faults.isUnresponsive) return this.waitForTimeout(timeoutMs);
     if (this.faults.delayedStarts > 0) {
       this.faults.delayedStarts--;
@@ -159,6 +170,7 @@
     timeoutMs: number,
   ): Promise<RenewReply> {
     await new Promise(resolve => setImmediate(resolve));
+    if (this.faults.isTerminated) return {type: 'refused'};
     if (this.faults.isUnresponsive) {
       await this.waitForTimeout(timeoutMs);
       return {type: 'unanswered'};
--- a/tests/features/job_recovery.feature
+++ b/tests/features/job_recovery.feature
@@ -116,6 +116,18 @@
     Then all jobs are completed
     And no invariant of runs is violated
 
+  # Guards against work that waits for the leases of a worker whose end its agent has seen.
+  Scenario: A worker leaves while there is no leader
+    Given agents count as lost only after 120000 ms without contact
+    And another gate takes over only after 8000 ms
+    And 2 gates and 3 agents whose tasks run 10000 ms
+    When 6 jobs of 2 tasks are submitted
+    And 12 tasks are running
+    And the leader crashes
+    And a draining worker terminates, and its agent with it
+    Then all jobs are completed
+    And no invariant of runs is violated
+
   Scenario: Starts get no answer and are executed late
     Given 2 gates and 2 agents whose tasks run 300 ms
     And the next 2 starts of each worker are executed 1500 ms late
--- a/tests/steps/job_steps.ts
+++ b/tests/steps/job_steps.ts
@@ -53,6 +53,7 @@
   'seat',
   'gate',
   'capacities',
+  'departure',
 ]);
 const HISTORY_SEED = 20261204;
 const NO_FAILURES = 0;
@@ -60,6 +61,7 @@
 let cluster: JobCluster | undefined;
 let endedJobRetentionMs: number | undefined;
 let takeoverMs: number | undefined;
+let contactTimeoutMs: number | undefined;
 let firstLeader: GateHandle | undefined;
 let impossible: JobSpec | undefined;
 let killedAtMs = 0;
@@ -75,6 +77,7 @@
   cluster = undefined;
   endedJobRetentionMs = undefined;
   takeoverMs = undefined;
+  contactTimeoutMs = undefined;
 });
 
 Given('ended jobs are kept for {int} ms', (ms: number) => {
@@ -147,6 +150,7 @@
     cluster = new JobCluster();
     Object.assign(cluster.times, endedJobRetentionMs && {endedJobRetentionMs});
     Object.assign(cluster.times, takeoverMs && {takeoverMs});
+    Object.assign(cluster.times, contactTimeoutMs && {contactTimeoutMs});
     await cluster.start(gates, agents, runMs);
   },
 );
@@ -370,6 +374,27 @@
   await runningCluster().loseInstance(handle);
 });
 
+Given(
+  'agents count as lost only after {int} ms without contact',
+  (ms: number) => {
+    contactTimeoutMs = ms;
+  },
+);
+
+When(
+  'a draining worker terminates, and its agent with it',
+  {timeout: STEP_TIMEOUT_MS},
+  async () => {
+    const handle = runningCluster().agents.find(
+      a => a.worker.runningTasks.length > 0,
+    );
+    assert.ok(handle, 'expected a worker that runs tasks');
+    assert.equal(runningCluster().leader, undefined);
+    await runningCluster().leaveInstance(handle);
+    assert.equal(runningCluster().leader, undefined);
+  },
+);
+
 When('a worker stops responding', () => {
   const handle = runningCluster().agents.find(
     a => a.worker.runningTasks.length > 0,
--- a/tests/steps/processor_load_steps.ts
+++ b/tests/steps/processor_load_steps.ts
@@ -85,6 +85,7 @@
     epoch: () => 0,
     onStatusChange: () => undefined,
     onOtherIncarnation: () => undefined,
+    onDeparture: () => undefined,
   });
   driver.close();
   worker.dispose();
