--- a/src/core/request_messages.ts
+++ b/src/core/request_messages.ts
@@ -86,6 +86,8 @@
       readonly load: Load;
     }
   | {readonly type: 'load'; readonly agent: ProcessRef; readonly load: Load}
+  /** The agent stops, and has reported all requests that it started. */
+  | {readonly type: 'farewell'; readonly agent: ProcessRef}
   | {
       readonly type: 'result';
       readonly agent: ProcessRef;
--- a/src/core/request_router.ts
+++ b/src/core/request_router.ts
@@ -134,6 +134,8 @@
         return this.onLoad(input);
       case 'result':
         return this.onResult(input);
+      case 'farewell':
+        return this.onFarewell(input.agent);
       case 'refused':
         return this.onRefused(input);
       case 'trace':
@@ -346,6 +348,20 @@
     this.onLoad(input);
   }
 
+  /**
+   * The messages of a link arrive in order. An attempt of which the agent reported
+   * nothing before its farewell has not reached it in time.
+   */
+  private onFarewell(agent: ProcessRef): void {
+    this.directory.remove(agent.id);
+    for (const state of this.requestsAt(agent.id)) {
+      if (state.phase !== Phase.DISPATCHED) continue;
+      if (!sameProcess(state.agent, agent)) continue;
+      this.releaseSlot(state);
+      this.onNeverStarted(state, RefusalReason.LEAVING, agent);
+    }
+  }
+
   /** The agent has confirmed that this attempt never started and never will. */
   private onNeverStarted(
     state: RequestState,
--- a/src/daemons/agent_daemon.ts
+++ b/src/daemons/agent_daemon.ts
@@ -96,6 +96,8 @@
     // Leaves time to send the last results before the links are closed.
     await sleep(DRAIN_POLL_INTERVAL_MS);
     clearInterval(this.ticker);
+    if (this.isIdle())
+      this.links.post({type: 'toAllGates', body: {type: 'farewell'}});
     this.links.close();
     await this.executor.close();
     await this.gangs.close();
--- a/src/daemons/gate_links.ts
+++ b/src/daemons/gate_links.ts
@@ -115,7 +115,9 @@
       link.closeIfTimedOut();
     for (const link of [...this.acceptedLinks]) link.closeIfTimedOut();
     this.dialMissingGates();
-    this.sendHeartbeats();
+    // A write to a connection that the peer has closed can discard input that was not
+    // read yet, such as a farewell. After a pause, buffered input therefore comes first.
+    setImmediate(() => this.sendHeartbeats());
   }
 
   close(): void {
--- a/src/daemons/router_task.ts
+++ b/src/daemons/router_task.ts
@@ -131,6 +131,8 @@
           announcement: body.announcement,
           load: body.load,
         });
+      case 'farewell':
+        return this.handleInput({type: 'farewell', agent});
       case 'result':
         return this.handleInput({
           type: 'result',
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -137,6 +137,11 @@
     ),
     load: loadSchema,
   }),
+  /**
+   * Last message of an agent that stops without running requests. It has started nothing
+   * that it did not report to the gate before, and will start nothing more.
+   */
+  z.strictObject({type: z.literal('farewell')}),
   /** Status of an attempt, in reply to a message about it. */
   z.strictObject({
     type: z.literal('trace'),
