--- a/src/gate/row_follower.ts
+++ b/src/gate/row_follower.ts
@@ -4,9 +4,8 @@
 import {type ComponentLog} from '../plugins/event_log.js';
 import {sleep} from '../plugins/sleep.js';
 import {type StateStore, type StoredRow} from '../ports/state_store.js';
+import {PollWait} from './poll_wait.js';
 
-/** Maximum time that the store waits for a change before it answers, in ms. */
-const LONG_POLL_WAIT_MS = 500; // fits two reads into 1.8 s at 0.37 s store latency
 const READ_TIMEOUT_MS = 2500;
 const BACKOFF_BASE_MS = 30;
 const BACKOFF_CAP_MS = 250; // detects the end of an outage within a second
@@ -26,6 +25,7 @@
   private lastReadRequestedAtMs = -Infinity;
   private isStopped = false;
   private failures = 0;
+  private readonly pollWait = new PollWait();
   /** Polls again without a pause after changes. */
   isLowLatency = false;
 
@@ -63,11 +63,14 @@
   private async pollOnce(): Promise<void> {
     const requestedAtMs = this.ctx.clock.nowMs();
     if (this.version < 0) return this.readAll(requestedAtMs);
-    const changes = await this.store.changes(this.version, LONG_POLL_WAIT_MS);
+    const waitMs = this.pollWait.nextMs;
+    const changes = await this.store.changes(this.version, waitMs);
     if (changes === 'historyLost') {
       this.ctx.log.logEvent('historyLost', {version: this.version});
       return this.readAll(this.ctx.clock.nowMs());
     }
+    const tookMs = this.ctx.clock.nowMs() - requestedAtMs;
+    this.pollWait.recordPoll(waitMs, tookMs, changes.rows.length > 0);
     for (const row of changes.rows) this.handlers.onRow(row);
     this.advanceTo(changes.version, requestedAtMs);
     if (changes.rows.length > 0 && !this.isLowLatency)
--- a/tests/features/processor_load.feature
+++ b/tests/features/processor_load.feature
@@ -1,5 +1,17 @@
 Feature: Work per event does not grow with the fleet or with the backlog
 
+  # Guards against gates that are not ready since two polls of a slow store take too long.
+  Scenario Outline: A store that responds slowly is asked to wait less for changes
+    Given a store that responds <latencyMs> ms later than it is asked to wait
+    Then two polls in a row take at most <mostMs> ms
+    And a poll asks it to wait <waitMs> ms
+
+    Examples:
+      | latencyMs | mostMs | waitMs |
+      | 4         | 1300   | 500    |
+      | 370       | 1300   | 280    |
+      | 900       | 2000   | 100    |
+
   # Guards against agents that report the same content to the leader several times in an interval.
   Scenario: A report because of a change replaces the next periodic one
     Given reports to each gate at least every 500 ms
--- a/tests/steps/processor_load_steps.ts
+++ b/tests/steps/processor_load_steps.ts
@@ -15,6 +15,7 @@
 import {ReportSchedule} from '../../src/agent/report_schedule.js';
 import {WorkerDriver} from '../../src/agent/worker_driver.js';
 import {ManualClock} from '../../src/core/clock.js';
+import {PollWait} from '../../src/gate/poll_wait.js';
 import {JobEngine} from '../../src/jobs/job_engine.js';
 import {type WorkerReport} from '../../src/jobs/worker_pool.js';
 import {EventLog} from '../../src/plugins/event_log.js';
@@ -101,6 +102,33 @@
   assert.equal(driver.update(report), true);
 });
 
+const POLLS_UNTIL_STEADY = 40;
+
+let pollWait: PollWait;
+let latencyMs: number;
+
+Given(
+  'a store that responds {int} ms later than it is asked to wait',
+  (ms: number) => {
+    pollWait = new PollWait();
+    latencyMs = ms;
+    for (let i = 0; i < POLLS_UNTIL_STEADY; i++) {
+      const waitMs = pollWait.nextMs;
+      pollWait.recordPoll(waitMs, waitMs + latencyMs, false);
+      // A poll that returns changes early does not show the latency.
+      pollWait.recordPoll(waitMs, latencyMs + waitMs / 2, true);
+    }
+  },
+);
+
+Then('two polls in a row take at most {int} ms', (mostMs: number) =>
+  assert.ok(2 * (pollWait.nextMs + latencyMs) <= mostMs),
+);
+
+Then('a poll asks it to wait {int} ms', (waitMs: number) =>
+  assert.equal(pollWait.nextMs, waitMs),
+);
+
 let lineOutput: LineOutput;
 let writes: string[] = [];
 let firstWrite: Promise<void>;
