--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -47,6 +47,8 @@
 export interface JobGateOptions {
   readonly name: string;
   readonly incarnation: string;
+  /** Processor capacity of the instance, in cores. */
+  readonly cores: number;
   readonly linkHost: string;
   /** 0 selects any free port. */
   readonly linkPort: number;
@@ -59,6 +61,8 @@
   readonly takeoverMs: number;
   /** Maximum random addition to `takeoverMs`, so that gates don't all try at once. */
   readonly takeoverSpreadMs: number;
+  /** Additional delay of a gate without processor capacity; see `ElectionTimes`. */
+  readonly weaknessDelayMs: number;
   /** Time without a received message after which a link is closed. */
   readonly linkTimeoutMs: number;
   /** Time without contact after which all leases that an agent renewed have expired. */
@@ -108,6 +112,7 @@
       {
         takeoverMs: options.times.takeoverMs,
         spreadMs: options.times.takeoverSpreadMs,
+        weaknessDelayMs: options.times.weaknessDelayMs,
       },
       clock.nowMs(),
       () => random.next(),
@@ -274,6 +279,7 @@
     if (kind.kind === 'gate') {
       if (row.value) this.applyGateRow(kind.name, decodeGateRow(row.value));
       else this.gates.delete(kind.name);
+      this.updateRelativeCapacity();
       this.agents.setGates([...this.gates.values()].map(g => g.address));
       return;
     }
@@ -289,6 +295,12 @@
     this.agents.broadcast(this.createAnswer(0));
   }
 
+  private updateRelativeCapacity(): void {
+    const {cores} = this.options;
+    const others = [...this.gates.values()].map(g => g.cores);
+    this.election.setRelativeCapacity(cores / Math.max(cores, ...others));
+  }
+
   private applyGateRow(name: string, row: GateRow): void {
     this.gates.set(name, row);
     const isOwnRow = row.incarnation === this.options.incarnation;
@@ -374,7 +386,12 @@
     );
     const departures = this.isLeader ? this.expiredDepartures(wallMs) : [];
     if (isCurrent && stale.length + departures.length === 0) return;
-    const row = {address: this.linkAddress, incarnation, writtenWallMs: wallMs};
+    const row = {
+      address: this.linkAddress,
+      incarnation,
+      writtenWallMs: wallMs,
+      cores: this.options.cores,
+    };
     const result = await this.ctx.store.transact(
       {
         expect: [],
--- a/src/jobs/job_rows.ts
+++ b/src/jobs/job_rows.ts
@@ -265,12 +265,15 @@
   readonly address: string;
   readonly incarnation: string;
   readonly writtenWallMs: number;
+  /** Processor capacity of the gate's instance, in cores. */
+  readonly cores: number;
 }
 
 const gateSchema = z.object({
   address: z.string(),
   incarnation: z.string(),
   writtenWallMs: z.number(),
+  cores: z.number().default(0), // absent in rows of earlier versions
 });
 
 export function encodeGateRow(gate: GateRow): Uint8Array {
--- a/src/jobs/leader_election.ts
+++ b/src/jobs/leader_election.ts
@@ -9,6 +9,11 @@
   readonly takeoverMs: number;
   /** Upper bound of the random delay that spreads the gates' attempts, in ms. */
   readonly spreadMs: number;
+  /**
+   * Delay by which a gate without processor capacity would come after the most capable
+   * one, in ms. The gates between them are delayed in proportion.
+   */
+  readonly weaknessDelayMs: number;
 }
 
 /** The leader row as this process last read it. */
@@ -20,7 +25,8 @@
 export class LeaderElection {
   private observed: ObservedLeaderRow | undefined;
   private changedAtMs: number;
-  private readonly takeoverDelayMs: number;
+  private readonly randomDelayMs: number;
+  private relativeCapacity = 1;
   private terminatedLeader: string | undefined;
 
   constructor(
@@ -29,7 +35,7 @@
     random: () => number,
   ) {
     this.changedAtMs = startMs;
-    this.takeoverDelayMs = Math.round(random() * times.spreadMs);
+    this.randomDelayMs = Math.round(random() * times.spreadMs);
   }
 
   get observedRow(): ObservedLeaderRow | undefined {
@@ -40,6 +46,11 @@
     return this.observed?.row.epoch ?? 0;
   }
 
+  /** Sets the processor capacity of this gate, as a share of the most capable gate's. */
+  setRelativeCapacity(share: number): void {
+    this.relativeCapacity = share;
+  }
+
   /** Records a reading of the leader row and ignores versions that are not newer. */
   observe(leaderRow: ObservedLeaderRow, nowMs: number): void {
     if (this.observed && leaderRow.version <= this.observed.version) return;
@@ -52,6 +63,11 @@
     this.terminatedLeader = leader;
   }
 
+  private get takeoverDelayMs(): number {
+    const weakness = 1 - this.relativeCapacity;
+    return this.randomDelayMs + weakness * this.times.weaknessDelayMs;
+  }
+
   /**
    * Whether to try a takeover. `readAtMs` is the time at which the newest successful read
    * of the row was requested. An outage of the store does not mean that the leader is
--- a/tests/features/job_decisions.feature
+++ b/tests/features/job_decisions.feature
@@ -87,6 +87,13 @@
     And a gate takes over 2000 ms after the last commit
     And a gate takes over at once when the leader has stepped down
 
+  # Guards against a leader on the weakest instance, which plans and commits too slowly.
+  Scenario: More capable gates try to take over first
+    Given a takeover time of 2000 ms
+    Then a gate with 100 % of the capacity of another comes 0 ms after it
+    And a gate with 50 % of the capacity of another comes 150 ms after it
+    And a gate with 24 % of the capacity of another comes 228 ms after it
+
   Scenario: A wide urgent step preempts no more than its objective needs
     Given 12 workers that are full of batch work for 20000 ms
     When an urgent job of 18 tasks of 8 accelerators and 4000 ms comes beyond the guarantee
--- a/tests/steps/decision_steps.ts
+++ b/tests/steps/decision_steps.ts
@@ -530,8 +530,12 @@
   takeoverMs = ms;
 });
 
+/** Delay of a gate without processor capacity, in ms. */
+const WEAKNESS_DELAY_MS = 300;
+
 function makeElection(): LeaderElection {
-  return new LeaderElection({takeoverMs, spreadMs: 0}, 0, () => 0);
+  const times = {takeoverMs, spreadMs: 0, weaknessDelayMs: WEAKNESS_DELAY_MS};
+  return new LeaderElection(times, 0, () => 0);
 }
 
 function leaderRow(
@@ -578,6 +582,18 @@
   assert.ok(election.shouldTakeOver(1000 + ms, 1000 + ms));
 });
 
+Then(
+  'a gate with {int} % of the capacity of another comes {int} ms after it',
+  (percent: number, delayMs: number) => {
+    const election = makeElection();
+    election.setRelativeCapacity(percent / 100);
+    election.observe(leaderRow(1), 0);
+    const dueMs = takeoverMs + delayMs;
+    assert.ok(!election.shouldTakeOver(dueMs - 1, dueMs - 1));
+    assert.ok(election.shouldTakeOver(dueMs, dueMs));
+  },
+);
+
 Then('a gate takes over at once when the leader has stepped down', () => {
   const election = makeElection();
   election.observe(leaderRow(1, ''), 1000);
--- a/tests/steps/leadership_steps.ts
+++ b/tests/steps/leadership_steps.ts
@@ -75,7 +75,7 @@
   async (jobs: number) => {
     const clock = new SystemClock();
     const log = new EventLog('gate-0', clock, new SilentOutput());
-    const times = {takeoverMs: 2000, spreadMs: 0};
+    const times = {takeoverMs: 2000, spreadMs: 0, weaknessDelayMs: 0};
     const election = new LeaderElection(times, clock.nowMs(), () => 0);
     store = new SlowStore(new RowTable());
     leaderRole = new LeaderRole(
