--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -137,7 +137,8 @@
     while (this.shouldStart(order) && clock.nowMs() < retryUntilMs) {
       const reply = await this.tryStart(order);
       if (reply === 'noLease') {
-        reason = 'no contact with the seat holder or the worker, or it leaves';
+        reason =
+          'no contact with the leader or the worker, or the worker is draining';
         break;
       }
       if (reply.type === 'started') return this.confirm(order);
@@ -278,9 +279,9 @@
       type === 'unanswered' || type === 'unreachable' || type === 'refused';
     this.consecutiveUnansweredCalls = isSilent ? silentCalls + 1 : 0;
     if (isSilent && silentCalls === 0)
-      log.logEvent('workerSilent', {worker: this.key, reason: type});
+      log.logEvent('workerUnresponsive', {worker: this.key, reason: type});
     if (!isSilent && silentCalls > 0)
-      log.logEvent('workerAnswers', {worker: this.key, silentCalls});
+      log.logEvent('workerResponsive', {worker: this.key, silentCalls});
     this.departure.recordCall(type === 'refused', nowMs);
     if (!this.isClosed && this.departure.hasLeft(nowMs)) onDeparture();
   }
