--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -4,8 +4,6 @@
 import {HybridClock} from '../core/hybrid_clock.js';
 import {
   type LeaderRow,
-  decodeGateRow,
-  decodeLeaderRow,
   encodeDeparture,
   leaderAddressOf,
   rowKeys,
@@ -25,6 +23,7 @@
 import {type GateDialer} from './gate_dialer.js';
 import {GateDirectory} from './gate_directory.js';
 import {GateLinks} from './gate_links.js';
+import {LeaderSearch} from './leader_search.js';
 import {LeaseRenewer, type LeaseTimes} from './lease_renewer.js';
 import {ReportSchedule} from './report_schedule.js';
 import {WorkerDriver} from './worker_driver.js';
@@ -34,11 +33,6 @@
 /** Interval between messages on a link to another gate, in ms. */
 const PROBE_INTERVAL_MS = 650; // three within the link timeout
 const TICK_INTERVAL_MS = 100;
-/** Time without a leader and without a link after which the store is read, in ms. */
-const GATE_SEARCH_DELAY_MS = 1000;
-/** The same while a gate is linked, which would announce a new leader, in ms. */
-const LINKED_GATE_SEARCH_DELAY_MS = 3500; // a takeover takes up to 2.5 s
-const GATE_SEARCH_TIMEOUT_MS = 1500;
 const DEPARTURE_WRITE_TIMEOUT_MS = 3000;
 
 export interface JobAgentOptions {
@@ -64,6 +58,7 @@
   private readonly directory: GateDirectory;
   private readonly links: GateLinks;
   private readonly lease: LeaseRenewer;
+  private readonly leaderSearch: LeaderSearch;
   private readonly log: ComponentLog;
   private readonly loopDelay: LoopDelayMonitor;
   /** Clock readings at the sending of recent reports, by `sentAtMs`. */
@@ -82,8 +77,6 @@
   private readonly reportSchedule = new ReportSchedule(REPORT_INTERVAL_MS);
   private readonly probeSchedule = new ReportSchedule(PROBE_INTERVAL_MS);
   private isReportPending = false;
-  private searchedAtMs: number;
-  private isSearching = false;
   private ticker: NodeJS.Timeout | undefined;
 
   constructor(
@@ -98,12 +91,19 @@
       log: this.log,
     });
     this.lease = new LeaseRenewer(options.lease);
-    this.searchedAtMs = clock.nowMs() - GATE_SEARCH_DELAY_MS;
     this.directory = new GateDirectory(
       options.name,
       options.seedGates,
       options.standbyLinks,
     );
+    this.leaderSearch = new LeaderSearch(
+      ctx.store,
+      {
+        onGates: addresses => this.directory.addAddresses(addresses),
+        onLeader: row => this.onLeaderRow(row),
+      },
+      {clock, log: this.log},
+    );
     this.links = new GateLinks(
       this.directory,
       {
@@ -231,7 +231,7 @@
     const nowMs = this.ctx.clock.nowMs();
     const {openAddresses} = this.links;
     for (const address of openAddresses) this.sendIfDue(address, nowMs);
-    this.searchGates(nowMs, openAddresses.length > 0);
+    this.leaderSearch.tick(openAddresses.length > 0);
     if (this.driver?.takeLeaseExpiry()) {
       this.log.logEvent('leasesLapsed', {worker: this.driver.key});
       this.reportLostWorker({
@@ -326,7 +326,7 @@
       this.report(address);
     }
     if (!answer.extendsLeases) return;
-    this.searchedAtMs = this.ctx.clock.nowMs();
+    this.leaderSearch.recordLeader();
     if (sentAt) this.lease.recordContact(sentAt);
   }
 
@@ -370,33 +370,6 @@
         this.reportSendTimes.delete(sentAtMs);
   }
 
-  /** Looks up the gates and the leader in the store, after a time without a leader. */
-  private searchGates(nowMs: number, isLinked: boolean): void {
-    const delayMs = isLinked
-      ? LINKED_GATE_SEARCH_DELAY_MS
-      : GATE_SEARCH_DELAY_MS;
-    if (this.isSearching || nowMs - this.searchedAtMs < delayMs) return;
-    this.searchedAtMs = nowMs;
-    this.isSearching = true;
-    void this.readGates().finally(() => (this.isSearching = false));
-  }
-
-  private async readGates(): Promise<void> {
-    try {
-      const [gates, leader] = await Promise.all([
-        this.ctx.store.read(rowKeys.gate(''), GATE_SEARCH_TIMEOUT_MS),
-        this.ctx.store.read(rowKeys.leader, GATE_SEARCH_TIMEOUT_MS),
-      ]);
-      for (const row of gates.rows)
-        if (row.value)
-          this.directory.addAddresses([decodeGateRow(row.value).address]);
-      const [leaderRow] = leader.rows;
-      if (leaderRow?.value) this.onLeaderRow(decodeLeaderRow(leaderRow.value));
-    } catch (err) {
-      this.log.logEvent('gatesNotRead', {reason: (err as Error).message});
-    }
-  }
-
   private onLeaderRow(row: LeaderRow): void {
     if (row.epoch < this.epoch) return;
     this.recordLeader(row.epoch, leaderAddressOf(row));
--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -28,14 +28,13 @@
   type GateAnswer,
 } from '../protocol/job_messages.js';
 import {AgentServer} from './agent_server.js';
+import {GateRegistry} from './gate_registry.js';
 import {JobService} from './job_service.js';
 import {RowFollower} from './row_follower.js';
 import {LEADER_TICK_MS, LeaderRole} from './leader_role.js';
 
 /** Interval at which the gate checks its address row and those of others, in ms. */
 const ADDRESS_CHECK_INTERVAL_MS = 5000;
-/** Age at which another gate's address row is removed, in ms. */
-const ADDRESS_MAX_AGE_MS = 60_000; // far longer than jumps of the wall clock
 const ADDRESS_WRITE_TIMEOUT_MS = 3000;
 /** Age at which the record of a terminated worker is removed, in ms. */
 const DEPARTURE_MAX_AGE_MS = 60_000; // far longer than leases and jumps of the wall clock
@@ -86,7 +85,7 @@
   private readonly leaderRole: LeaderRole;
   private readonly follower: RowFollower;
   private readonly agents: AgentServer;
-  private readonly gates = new Map<string, GateRow>();
+  private readonly gates: GateRegistry;
   private readonly log: ComponentLog;
   private ticker: NodeJS.Timeout | undefined;
   private readonly loopDelay: LoopDelayMonitor;
@@ -108,6 +107,7 @@
       metrics,
       log: this.log,
     });
+    this.gates = new GateRegistry(options.name);
     this.election = new LeaderElection(
       {
         takeoverMs: options.times.takeoverMs,
@@ -279,8 +279,10 @@
     if (kind.kind === 'gate') {
       if (row.value) this.applyGateRow(kind.name, decodeGateRow(row.value));
       else this.gates.delete(kind.name);
-      this.updateRelativeCapacity();
-      this.agents.setGates([...this.gates.values()].map(g => g.address));
+      this.election.setRelativeCapacity(
+        this.gates.relativeCapacity(this.options.cores),
+      );
+      this.agents.setGates(this.gates.addresses);
       return;
     }
     this.jobIndex.apply(kind, row);
@@ -295,12 +297,6 @@
     this.agents.broadcast(this.createAnswer(0));
   }
 
-  private updateRelativeCapacity(): void {
-    const {cores} = this.options;
-    const others = [...this.gates.values()].map(g => g.cores);
-    this.election.setRelativeCapacity(cores / Math.max(cores, ...others));
-  }
-
   private applyGateRow(name: string, row: GateRow): void {
     this.gates.set(name, row);
     const isOwnRow = row.incarnation === this.options.incarnation;
@@ -374,29 +370,22 @@
   /** Writes the gate's address row and removes rows of terminated gates and workers. */
   private async writeAddress(nowMs: number): Promise<void> {
     this.addressesCheckedAtMs = nowMs;
-    const {name, incarnation} = this.options;
+    const {name, incarnation, cores} = this.options;
     const wallMs = this.ctx.clock.wallMs();
-    const own = this.gates.get(name);
-    const isCurrent =
-      own?.incarnation === incarnation &&
-      own.address === this.linkAddress &&
-      wallMs - own.writtenWallMs < ADDRESS_MAX_AGE_MS / 2;
-    const stale = [...this.gates].filter(
-      ([n, g]) => n !== name && wallMs - g.writtenWallMs > ADDRESS_MAX_AGE_MS,
-    );
-    const departures = this.isLeader ? this.expiredDepartures(wallMs) : [];
-    if (isCurrent && stale.length + departures.length === 0) return;
     const row = {
       address: this.linkAddress,
       incarnation,
       writtenWallMs: wallMs,
-      cores: this.options.cores,
+      cores,
     };
+    const expired = this.gates.expiredNames(wallMs).map(rowKeys.gate);
+    if (this.isLeader) expired.push(...this.expiredDepartures(wallMs));
+    if (this.gates.isStored(row) && expired.length === 0) return;
     const result = await this.ctx.store.transact(
       {
         expect: [],
         put: [{key: rowKeys.gate(name), value: encodeGateRow(row)}],
-        remove: [...stale.map(([n]) => rowKeys.gate(n)), ...departures],
+        remove: expired,
       },
       ADDRESS_WRITE_TIMEOUT_MS,
     );
--- a/tests/features/gate_links.feature
+++ b/tests/features/gate_links.feature
@@ -23,6 +23,12 @@
     When all gates are lost for 60000 ms
     Then each agent still selects its seed gates
 
+  # Guards against lists of all gates that are sent whenever one gate renews its row.
+  Scenario: Agents get the list of gates only when an address changes
+    Given a gate that knows 35 gates
+    Then its list of addresses stays the same while they renew their rows
+    And its list of addresses is replaced when a gate moves, joins or leaves
+
   # Guards against gates that scale with the fleet although they do not lead.
   Scenario: Only the leader gets the inventories of agents
     Given 6 gates and 4 agents whose tasks run 1500 ms
--- a/tests/steps/gate_link_steps.ts
+++ b/tests/steps/gate_link_steps.ts
@@ -3,6 +3,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {GateDirectory} from '../../src/agent/gate_directory.js';
 import {STANDBY_LINKS} from '../../src/agent/gate_links.js';
+import {GateRegistry} from '../../src/gate/gate_registry.js';
 
 const SEED_COUNT = 3;
 /** Interval between attempts to open a link, in ms. */
@@ -86,3 +87,34 @@
   for (const directory of directories)
     assert.deepEqual(directory.selectLinks(nowMs).sort(), [...seeds].sort());
 });
+
+let registry: GateRegistry;
+
+function renewRow(gate: number, address: string, writtenWallMs: number): void {
+  const incarnation = `gate-${gate}-1`;
+  registry.set(`gate-${gate}`, {address, incarnation, writtenWallMs, cores: 1});
+}
+
+Given('a gate that knows {int} gates', (gateCount: number) => {
+  registry = new GateRegistry('gate-0');
+  for (let i = 0; i < gateCount; i++) renewRow(i, `10.1.0.${i}:7000`, 0);
+});
+
+Then('its list of addresses stays the same while they renew their rows', () => {
+  const before = registry.addresses;
+  for (let i = 0; i < before.length; i++) renewRow(i, before[i], 30_000);
+  assert.equal(registry.addresses, before);
+});
+
+Then(
+  'its list of addresses is replaced when a gate moves, joins or leaves',
+  () => {
+    renewRow(3, '10.2.0.3:7000', 60_000);
+    assert.ok(registry.addresses.includes('10.2.0.3:7000'));
+    assert.ok(!registry.addresses.includes('10.1.0.3:7000'));
+    renewRow(99, '10.2.0.99:7000', 60_000);
+    assert.ok(registry.addresses.includes('10.2.0.99:7000'));
+    registry.delete('gate-99');
+    assert.ok(!registry.addresses.includes('10.2.0.99:7000'));
+  },
+);
