A list of runs that was requested before a run was seen does not end it

Cause: responses on different connections can overtake each other. A run whose start is not answered yet, or was sent by an earlier process, first becomes known from a list that shows it. The agent took the time at which its start was ordered, or that list was requested, for the time from which every list must show it. Another list that was requested after that time, but computed before the worker carried out the start, then counted as proof that the run was gone: it was refused and placed on another worker while it was running.

Evidence: the scenario outline 'A list that is older than a run does not end it' failed in 2 of its 5 examples (unanswered start; start of an earlier process) and passes. Whether this is what the users saw is not known.

Fix: a run that a list shows is known to be there from the time at which that list arrived. Only lists that were requested later can prove that it is gone. A run that is gone is noticed no later than with the next list.

--- a/src/agent/run_table.ts
+++ b/src/agent/run_table.ts
@@ -18,8 +18,8 @@
   readonly run: number;
   phase: RunPhase;
   /**
-   * Lists requested after this time must contain the run, in ms of the monotonic clock. A
-   * run that is missing from one no longer exists on the worker.
+   * When the run was known to be on the worker, in ms of the monotonic clock. A list that
+   * was requested later must contain it; if the run is missing, it no longer exists.
    */
   confirmedAtMs: number;
   /**
@@ -37,6 +37,12 @@
   readonly ended: readonly EndedRun[];
 }
 
+/** When a call to the worker was made and answered, in ms of the monotonic clock. */
+export interface CallTimes {
+  readonly requestedAtMs: number;
+  readonly receivedAtMs: number;
+}
+
 function keyOf(task: string, run: number): string {
   return `${task}#${run}`;
 }
@@ -115,7 +121,8 @@
   }
 
   /** Applies the worker's lists; returns true if a change must be reported. */
-  applyLists(lists: WorkerRunLists, requestedAtMs: number): boolean {
+  applyLists(lists: WorkerRunLists, call: CallTimes): boolean {
+    const {requestedAtMs, receivedAtMs} = call;
     const hasEnds = this.applyEnded(lists.ended);
     const listed = new Set<string>();
     let hasNew = false;
@@ -123,7 +130,7 @@
       const key = keyOf(run.task, run.run);
       listed.add(key);
       if (this.findEnd(run.task, run.run)) continue;
-      hasNew = this.applyRunning(key, run, requestedAtMs) || hasNew;
+      hasNew = this.applyRunning(key, run, receivedAtMs) || hasNew;
     }
     const hasRemoved = this.removeUnlisted(listed, requestedAtMs);
     return hasEnds || hasNew || hasRemoved;
@@ -169,14 +176,18 @@
   private applyRunning(
     key: string,
     run: RunningTask,
-    requestedAtMs: number,
+    receivedAtMs: number,
   ): boolean {
     const known = this.entries.get(key);
     const entry =
-      known ?? newEntry(run.task, run.run, RunPhase.RUNNING, requestedAtMs);
+      known ?? newEntry(run.task, run.run, RunPhase.STARTING, receivedAtMs);
     this.entries.set(key, entry);
-    const hasChanged = !known || entry.phase !== RunPhase.RUNNING;
-    entry.phase = RunPhase.RUNNING;
+    const hasChanged = entry.phase !== RunPhase.RUNNING;
+    if (hasChanged) {
+      entry.phase = RunPhase.RUNNING;
+      // The worker may have started the run at any time before it answered.
+      entry.confirmedAtMs = receivedAtMs;
+    }
     entry.checkpoint = run.checkpoint || entry.checkpoint;
     entry.percent = run.percent;
     return hasChanged;
--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -319,7 +319,8 @@
     for (const end of reply.ended)
       if (end.number > this.table.acknowledgedUpTo)
         this.ctx.metrics.increment(`run_${end.kind}`);
-    if (this.table.applyLists(reply, requestedAtMs) || isFirst)
+    const call = {requestedAtMs, receivedAtMs: nowMs};
+    if (this.table.applyLists(reply, call) || isFirst)
       this.ctx.onStatusChange();
     return true;
   }
