A restarted agent waits for the leases that its earlier process requested

Cause: an agent counted only the leases that its own process had requested. One that was restarted and heard its worker once, and could not renew before the worker fell silent, as when there was no leader just then, declared 2.5 s later that all leases had run out. Those of the earlier process still ran, and so did the runs.

Fix: the first answer of a worker counts as a lease of full length from that moment. No earlier process can have requested a later end, since the end is a time of the worker's clock.

--- a/src/agent/lease_renewer.ts
+++ b/src/agent/lease_renewer.ts
@@ -68,6 +68,8 @@
   ): void {
     if (this.workerClock && requestedAtMs < this.workerClock.receivedAtMs)
       return;
+    // An earlier process of this agent may have renewed the leases just before.
+    if (!this.workerClock) this.latestLeaseEndMs = clockMs + this.times.leaseMs;
     this.workerClock = {clockMs, receivedAtMs};
   }
 
