--- a/src/agent/departure_detector.ts
+++ b/src/agent/departure_detector.ts
@@ -28,6 +28,16 @@
     else this.refusedSinceMs ??= nowMs;
   }
 
+  /** Times of the decision, for the log. */
+  facts(nowMs: number): {drainOverdueMs?: number; refusedMs?: number} {
+    const sinceMs = (ms: number | undefined) =>
+      ms === undefined ? undefined : Math.round(nowMs - ms);
+    return {
+      drainOverdueMs: sinceMs(this.leavesFromMs),
+      refusedMs: sinceMs(this.refusedSinceMs),
+    };
+  }
+
   hasLeft(nowMs: number): boolean {
     const {leavesFromMs, refusedSinceMs} = this;
     if (leavesFromMs === undefined || refusedSinceMs === undefined)
--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -9,7 +9,7 @@
   rowKeys,
 } from '../jobs/job_rows.js';
 import {type WorkerReport, workerKey} from '../jobs/worker_pool.js';
-import {type EventLog, type ComponentLog} from '../plugins/event_log.js';
+import {type ComponentLog, type EventLog} from '../plugins/event_log.js';
 import {LoopDelayMonitor} from '../plugins/loop_delay_monitor.js';
 import {type Metrics} from '../plugins/metrics.js';
 import {type StateStore} from '../ports/state_store.js';
@@ -26,6 +26,7 @@
 import {LeaderSearch} from './leader_search.js';
 import {LeaseRenewer, type LeaseTimes} from './lease_renewer.js';
 import {ReportSchedule} from './report_schedule.js';
+import {RunProof} from './run_conclusion.js';
 import {WorkerDriver} from './worker_driver.js';
 
 /** Maximum interval between reports to the leader, in ms. */
@@ -71,6 +72,8 @@
   private lost: LostWorker | undefined;
   /** Key of the worker that terminated last; late heartbeats of it are ignored. */
   private departedWorker: string | undefined;
+  /** Key of the incarnation whose late heartbeat was logged last. */
+  private otherHeartbeatLogged: string | undefined;
   private epoch = 0;
   /** Link address of the gate that answered as leader; undefined if there is none. */
   private leaderAddress: string | undefined;
@@ -132,13 +135,13 @@
   /** Records a heartbeat of the worker; returns false if an older incarnation sent it. */
   recordHeartbeat(report: WorkerReport): boolean {
     const {driver} = this;
-    if (
-      workerKey(this.options.name, report.id, report.bornMs) ===
-      this.departedWorker
-    )
-      return false;
+    const key = workerKey(this.options.name, report.id, report.bornMs);
     const isSame = driver?.id === report.id && driver.bornMs === report.bornMs;
-    if (driver && !isSame && report.bornMs < driver.bornMs) return false;
+    const isOlder = driver && !isSame && report.bornMs < driver.bornMs;
+    if (key === this.departedWorker || isOlder) {
+      this.logOtherHeartbeat(key);
+      return false;
+    }
     if (!driver || !isSame) this.startDriver(report);
     // A heartbeat without a change is covered by the periodic reports.
     else if (!driver.update(report)) return true;
@@ -149,8 +152,14 @@
   /** Records that the worker reported its own termination. */
   recordWorkerExit(workerId: string): void {
     const {driver} = this;
-    if (driver?.id === workerId)
-      this.recordDeparture(driver, 'the worker announced its end');
+    this.log.logEvent('workerDeregistered', {
+      id: workerId,
+      known: driver?.key,
+      ...driver?.facts(),
+    });
+    if (driver?.id !== workerId) return;
+    this.logConclusions(driver, RunProof.DEREGISTERED);
+    this.recordDeparture(driver, 'the worker announced its end');
   }
 
   /** Stops the agent but not the worker's runs; the next agent process adopts them. */
@@ -163,7 +172,8 @@
   }
 
   private startDriver(report: WorkerReport): void {
-    this.driver?.close();
+    const replaced = this.driver;
+    replaced?.close();
     this.lease.resetClock();
     const {worker, clock, logs, metrics} = this.ctx;
     const driver: WorkerDriver = new WorkerDriver(this.options.name, report, {
@@ -175,20 +185,46 @@
       epoch: () => this.epoch,
       onStatusChange: () => this.scheduleReport(),
       onOtherIncarnation: () => this.onOtherIncarnation(driver),
-      onDeparture: () =>
-        this.recordDeparture(driver, 'the draining worker is not running'),
+      onDeparture: () => {
+        if (this.driver === driver)
+          this.logConclusions(driver, RunProof.CONNECTIONS_REFUSED);
+        this.recordDeparture(driver, 'the draining worker is not running');
+      },
     });
     this.driver = driver;
-    this.log.logEvent('workerFound', {worker: driver.key, epoch: this.epoch});
+    this.log.logEvent('workerFound', {
+      worker: driver.key,
+      epoch: this.epoch,
+      replaces: replaced?.key,
+      runsReplaced: replaced?.facts().runs,
+    });
   }
 
   /** Drops the terminated incarnation; the next one will send a heartbeat. */
   private onOtherIncarnation(driver: WorkerDriver): void {
     if (this.driver !== driver) return;
     this.log.logEvent('workerReplaced', {worker: driver.key});
+    this.logConclusions(driver, RunProof.OTHER_INCARNATION);
     this.discardDriver(driver, 'another incarnation answered');
   }
 
+  /** Logs that all runs of a worker are taken to be over. */
+  private logConclusions(driver: WorkerDriver, proof: RunProof): void {
+    const facts = driver.facts();
+    this.ctx.metrics.increment(`runs_concluded_${proof}`, facts.runs);
+    this.log.logEvent('runsConcluded', {worker: driver.key, proof, ...facts});
+  }
+
+  private logOtherHeartbeat(key: string): void {
+    if (this.otherHeartbeatLogged === key) return;
+    this.otherHeartbeatLogged = key;
+    this.log.logEvent('heartbeatOfOtherIncarnation', {
+      worker: key,
+      known: this.driver?.key,
+      departed: this.departedWorker,
+    });
+  }
+
   private recordDeparture(driver: WorkerDriver, reason: string): void {
     if (this.driver !== driver) return;
     this.log.logEvent('workerLeft', {worker: driver.key, reason});
@@ -234,6 +270,7 @@
     this.leaderSearch.tick(openAddresses.length > 0);
     if (this.driver?.takeLeaseExpiry()) {
       this.log.logEvent('leasesLapsed', {worker: this.driver.key});
+      this.logConclusions(this.driver, RunProof.LEASES_EXPIRED);
       this.reportLostWorker({
         worker: this.driver.key,
         reason: 'all leases ran out',
--- /dev/null
+++ b/src/agent/run_conclusion.ts
@@ -0,0 +1,29 @@
+/** Conclusions that a run is over, with the facts that each rests on, for the log. */
+import {type LogFields} from '../plugins/event_log.js';
+import {type RunRef} from '../ports/task_worker.js';
+
+/** What an agent takes as proof that runs are over. */
+export const RunProof = {
+  /** The worker listed the end. */
+  END_LISTED: 'endListed',
+  /** A list that should contain the run lacks it. */
+  NOT_LISTED: 'notListed',
+  /** The worker answered a stop, and a list requested later lacks the run. */
+  STOP_ANSWERED: 'stopAnswered',
+  /** No attempt of the start can have been carried out. */
+  START_REJECTED: 'startRejected',
+  /** Another incarnation answered under the worker's address. */
+  OTHER_INCARNATION: 'otherIncarnation',
+  /** All leases that were requested have expired. */
+  LEASES_EXPIRED: 'leasesExpired',
+  /** The worker announced its termination. */
+  DEREGISTERED: 'deregistered',
+  /** A draining worker refused connections after its announced time. */
+  CONNECTIONS_REFUSED: 'connectionsRefused',
+} as const;
+export type RunProof = (typeof RunProof)[keyof typeof RunProof];
+
+export interface RunConclusion extends RunRef {
+  readonly proof: RunProof;
+  readonly facts: LogFields;
+}
--- a/src/agent/run_table.ts
+++ b/src/agent/run_table.ts
@@ -5,6 +5,7 @@
   type RunStatus,
 } from '../jobs/engine_messages.js';
 import {type EndedRun, type RunningTask} from '../ports/task_worker.js';
+import {type RunConclusion, RunProof} from './run_conclusion.js';
 
 const RunPhase = {
   /** The start was ordered, but the worker has not confirmed it. */
@@ -47,6 +48,9 @@
   private newestEndNumber = 0;
   private acknowledged = 0;
   private refusals: StartRefusal[] = [];
+  private conclusions: RunConclusion[] = [];
+  /** When the newest list was requested, in ms of the monotonic clock. */
+  private newestRequestMs = -Infinity;
 
   constructor(private readonly workerKey: string) {}
 
@@ -126,6 +130,7 @@
       hasNew = this.applyRunning(key, run, requestedAtMs) || hasNew;
     }
     const hasRemoved = this.removeUnlisted(listed, requestedAtMs);
+    this.newestRequestMs = Math.max(this.newestRequestMs, requestedAtMs);
     return hasEnds || hasNew || hasRemoved;
   }
 
@@ -150,6 +155,13 @@
     return refusals;
   }
 
+  /** Returns the runs that the worker's lists showed to be over, and clears their list. */
+  takeConclusions(): RunConclusion[] {
+    const {conclusions} = this;
+    this.conclusions = [];
+    return conclusions;
+  }
+
   private applyEnded(ended: readonly EndedRun[]): boolean {
     let hasNew = false;
     for (const end of ended) {
@@ -161,6 +173,12 @@
       this.newestEndNumber = Math.max(this.newestEndNumber, end.number);
       this.ended.set(end.number, end);
       this.entries.delete(keyOf(end.task, end.run));
+      this.conclusions.push({
+        task: end.task,
+        run: end.run,
+        proof: RunProof.END_LISTED,
+        facts: {reason: end.kind, number: end.number},
+      });
       hasNew = true;
     }
     return hasNew;
@@ -196,6 +214,7 @@
       const isMissing =
         entry.phase === RunPhase.RUNNING && requestedAtMs > entry.confirmedAtMs;
       if (!isStopped && !isMissing) continue;
+      this.recordUnlisted(entry, isStopped, requestedAtMs);
       this.recordRefusal(
         entry.task,
         entry.run,
@@ -206,6 +225,28 @@
     return hasRemoved;
   }
 
+  private recordUnlisted(
+    entry: RunEntry,
+    isStopped: boolean,
+    requestedAtMs: number,
+  ): void {
+    const {task, run, confirmedAtMs, stopAnsweredAtMs} = entry;
+    const provenFromMs = isStopped ? stopAnsweredAtMs! : confirmedAtMs;
+    this.conclusions.push({
+      task,
+      run,
+      proof: isStopped ? RunProof.STOP_ANSWERED : RunProof.NOT_LISTED,
+      facts: {
+        wasRunning: entry.phase === RunPhase.RUNNING,
+        requestedAfterMs: Math.round(requestedAtMs - provenFromMs),
+        // Greater than 0 if a list that was requested later has overtaken this one.
+        overtakenByMs: Math.round(
+          Math.max(0, this.newestRequestMs - requestedAtMs),
+        ),
+      },
+    });
+  }
+
   private findEnd(task: string, run: number): boolean {
     for (const end of this.ended.values())
       if (end.task === task && end.run === run) return true;
--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -20,6 +20,7 @@
 } from '../ports/task_worker.js';
 import {DepartureDetector} from './departure_detector.js';
 import {type LeaseRenewer} from './lease_renewer.js';
+import {type RunConclusion, RunProof} from './run_conclusion.js';
 import {RunTable} from './run_table.js';
 
 /**
@@ -35,6 +36,27 @@
 /** Time without an answer after which the worker gets no new runs, in ms. */
 const UNREACHABLE_AFTER_MS = 2500; // longer than one poll including its timeout
 
+/** State of a worker as one process knows it, for the log. */
+export interface WorkerFacts {
+  /** Number of runs that have not been proven to be over. */
+  readonly runs: number;
+  /** Whether the worker has sent its lists. */
+  readonly hadLists: boolean;
+  /** Time since the worker's last answer to a renewal. */
+  readonly sinceAnswerMs: number;
+  /** Time for which this process has known the incarnation. */
+  readonly trackedMs: number;
+  /** Latest lease end that this process requested; absent if there is none. */
+  readonly leaseEndMs?: number;
+  /** Estimate of the worker's clock, without its rate error. */
+  readonly workerClockMs?: number;
+  readonly draining: boolean;
+  /** Time since the earliest end that a draining worker announced. */
+  readonly drainOverdueMs?: number;
+  /** Time for which connections have been refused. */
+  readonly refusedMs?: number;
+}
+
 export interface WorkerDriverContext {
   readonly worker: TaskWorker;
   readonly clock: Clock;
@@ -57,6 +79,10 @@
   private readonly departure = new DepartureDetector();
   private report: WorkerReport;
   private lastAnswerAtMs: number;
+  private readonly trackedSinceMs: number;
+  /** Latest lease end that this process requested, on the worker's clock. */
+  private requestedLeaseEndMs: number | undefined;
+  private workerClock: {clockMs: number; receivedAtMs: number} | undefined;
   private isClosed = false;
   private isExpiryReported = false;
   private hasRunLists = false;
@@ -71,7 +97,8 @@
     this.report = report;
     this.key = workerKey(agent, report.id, report.bornMs);
     this.table = new RunTable(this.key);
-    this.lastAnswerAtMs = ctx.clock.nowMs();
+    this.trackedSinceMs = ctx.clock.nowMs();
+    this.lastAnswerAtMs = this.trackedSinceMs;
     this.departure.recordHeartbeat(report, this.lastAnswerAtMs);
     void this.poll();
   }
@@ -117,6 +144,25 @@
     return this.table.takeRefusals();
   }
 
+  /** What this process knows of the worker's state, for the log. */
+  facts(): WorkerFacts {
+    const nowMs = this.ctx.clock.nowMs();
+    const {workerClock, requestedLeaseEndMs, report, departure} = this;
+    const workerClockMs =
+      workerClock &&
+      Math.round(workerClock.clockMs + nowMs - workerClock.receivedAtMs);
+    return {
+      runs: this.table.runs().length,
+      hadLists: this.hasRunLists,
+      sinceAnswerMs: Math.round(nowMs - this.lastAnswerAtMs),
+      trackedMs: Math.round(nowMs - this.trackedSinceMs),
+      leaseEndMs: requestedLeaseEndMs,
+      workerClockMs,
+      draining: report.draining,
+      ...departure.facts(nowMs),
+    };
+  }
+
   /** Returns true once when all leases have expired while the worker was unreachable. */
   takeLeaseExpiry(): boolean {
     const nowMs = this.ctx.clock.nowMs();
@@ -132,7 +178,7 @@
     const {clock} = this.ctx;
     if (!this.table.addStarting(task, run, clock.nowMs())) return;
     const retryUntilMs = clock.nowMs() + START_RETRY_TIMEOUT_MS;
-    let mayHaveStarted = false;
+    let unansweredAttempts = 0;
     let reason: string = 'no answer in time';
     while (this.shouldStart(order) && clock.nowMs() < retryUntilMs) {
       const reply = await this.tryStart(order);
@@ -143,7 +189,7 @@
       }
       if (reply.type === 'started') return this.confirm(order);
       if (reply.type === 'otherIncarnation') return;
-      if (reply.type === 'unanswered') mayHaveStarted = true;
+      if (reply.type === 'unanswered') unansweredAttempts++;
       else if (reply.type === 'rejected') {
         ({reason} = reply);
         if (reason !== RejectReason.LATE) break;
@@ -151,7 +197,14 @@
       } else await sleep(RETRY_DELAY_MS);
     }
     if (!this.shouldStart(order)) return;
-    if (!mayHaveStarted) return this.recordRefusal(order, reason);
+    if (unansweredAttempts === 0) return this.recordRefusal(order, reason);
+    this.ctx.log.logEvent('startUnresolved', {
+      task,
+      run,
+      worker: this.key,
+      reason,
+      unansweredAttempts,
+    });
     // The start may still be carried out, so the run is stopped before it is reported.
     await this.stop({...order, type: 'stop'});
   }
@@ -169,7 +222,10 @@
         CALL_TIMEOUT_MS,
       );
       this.ctx.log.logEvent('stopSent', {task, run, epoch, result: reply});
-      if (reply === 'otherIncarnation') return this.ctx.onOtherIncarnation();
+      if (reply === 'otherIncarnation') {
+        this.logOtherIncarnation('stop');
+        return this.ctx.onOtherIncarnation();
+      }
       if (reply === 'stopped') {
         this.table.recordStopAnswer(task, run, clock.nowMs());
         await this.renew(0);
@@ -202,6 +258,7 @@
     if (this.report.draining || !this.isReachable) return 'noLease';
     const leaseUntilMs = lease.nextLeaseUntilMs(readClocks(this.ctx.clock));
     if (leaseUntilMs === undefined) return 'noLease';
+    this.recordLeaseRequest(leaseUntilMs);
     const epoch = this.ctx.epoch();
     const {task, run, payload, checkpoint} = order;
     const reply = await worker.start(
@@ -212,11 +269,15 @@
     const nowMs = clock.nowMs();
     if ('clockMs' in reply && reply.clockMs !== undefined)
       lease.recordClock(reply.clockMs, startMs, nowMs);
-    if (reply.type === 'otherIncarnation') this.ctx.onOtherIncarnation();
+    if (reply.type === 'otherIncarnation') {
+      this.logOtherIncarnation('start');
+      this.ctx.onOtherIncarnation();
+    }
     metrics.recordDuration('start_call', nowMs - startMs);
     log.logEvent('startSent', {
       task,
       run,
+      worker: this.key,
       epoch,
       result: reply.type,
       reason: 'reason' in reply ? reply.reason : undefined,
@@ -231,6 +292,14 @@
   }
 
   private recordRefusal(order: StartOrder, reason: string): void {
+    const {task, run} = order;
+    this.logConclusion({
+      task,
+      run,
+      proof: RunProof.START_REJECTED,
+      // Attempts of an earlier process are not known.
+      facts: {reason, trackedMs: this.facts().trackedMs},
+    });
     this.table.recordRefusal(order.task, order.run, reason);
     this.ctx.onStatusChange();
   }
@@ -255,14 +324,16 @@
   private async renew(waitMs: number): Promise<boolean> {
     const {worker, clock, lease} = this.ctx;
     const requestedAtMs = clock.nowMs();
+    const leaseUntilMs = this.extendsLease
+      ? lease.nextLeaseUntilMs(readClocks(clock))
+      : undefined;
+    this.recordLeaseRequest(leaseUntilMs);
     const reply = await worker.renew(
       this.id,
       {
         fencingToken: this.ctx.epoch(),
         acknowledgedUpTo: this.table.acknowledgedUpTo,
-        leaseUntilMs: this.extendsLease
-          ? lease.nextLeaseUntilMs(readClocks(this.ctx.clock))
-          : undefined,
+        leaseUntilMs,
         waitMs,
       },
       waitMs + CALL_TIMEOUT_MS,
@@ -298,6 +369,7 @@
   private applyReply(reply: RenewReply, requestedAtMs: number): boolean {
     const {clock, lease, log} = this.ctx;
     if (reply.type === 'otherIncarnation') {
+      this.logOtherIncarnation('renew');
       this.ctx.onOtherIncarnation();
       return false;
     }
@@ -307,6 +379,7 @@
       return false;
     }
     if (reply.bornMs !== this.report.bornMs) {
+      this.logOtherIncarnation('renew', reply.bornMs);
       this.ctx.onOtherIncarnation();
       return false;
     }
@@ -316,11 +389,44 @@
     this.hasRunLists = true;
     this.isExpiryReported = false;
     lease.recordClock(reply.clockMs, requestedAtMs, nowMs);
+    this.workerClock = {clockMs: reply.clockMs, receivedAtMs: nowMs};
     for (const end of reply.ended)
       if (end.number > this.table.acknowledgedUpTo)
         this.ctx.metrics.increment(`run_${end.kind}`);
-    if (this.table.applyLists(reply, requestedAtMs) || isFirst)
-      this.ctx.onStatusChange();
+    const hasChanged = this.table.applyLists(reply, requestedAtMs);
+    for (const conclusion of this.table.takeConclusions())
+      this.logConclusion(conclusion, Math.round(nowMs - requestedAtMs));
+    if (hasChanged || isFirst) this.ctx.onStatusChange();
     return true;
   }
+
+  private recordLeaseRequest(untilMs: number | undefined): void {
+    if (untilMs === undefined) return;
+    this.requestedLeaseEndMs = Math.max(this.requestedLeaseEndMs ?? 0, untilMs);
+  }
+
+  private logConclusion(
+    {task, run, proof, facts}: RunConclusion,
+    listAgeMs?: number,
+  ): void {
+    this.ctx.metrics.increment(`runs_concluded_${proof}`);
+    this.ctx.log.logEvent('runConcluded', {
+      task,
+      run,
+      worker: this.key,
+      proof,
+      listAgeMs,
+      ...facts,
+    });
+  }
+
+  /** Logs that another incarnation answered; only lists contain its start time. */
+  private logOtherIncarnation(call: string, answeredBornMs?: number): void {
+    this.ctx.log.logEvent('otherIncarnationAnswered', {
+      worker: this.key,
+      call,
+      knownBornMs: this.report.bornMs,
+      answeredBornMs,
+    });
+  }
 }
--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -4,7 +4,11 @@
 import {type Random} from '../core/random.js';
 import {JobIndex} from '../jobs/job_index.js';
 import {type JobTables} from '../jobs/job.js';
-import {type EngineOptions, type JobEngine} from '../jobs/job_engine.js';
+import {
+  type EngineOptions,
+  type JobEngine,
+  LossProof,
+} from '../jobs/job_engine.js';
 import {
   type GateRow,
   type LeaderRow,
@@ -202,6 +206,8 @@
         metrics.increment(`engine_${event}`);
         if (event === 'placed')
           metrics.recordDuration('placing', fields.ms ?? 0);
+        if (event === 'runLost' && fields.proof)
+          metrics.increment(`runs_concluded_${fields.proof}`);
         engineLog.logEvent(event, fields);
       },
       onDiscarded: (cause, lostCoreMs) =>
@@ -336,7 +342,13 @@
     const nowMs = this.ctx.clock.nowMs();
     const {inventory, agent, refusals, lost} = report;
     for (const refusal of refusals) engine.recordRefusal(refusal, nowMs);
-    if (lost) engine.markWorkerLost(lost.worker, lost.reason, nowMs);
+    if (lost)
+      engine.markWorkerLost(
+        lost.worker,
+        lost.reason,
+        nowMs,
+        LossProof.AGENT_REPORT,
+      );
     if (inventory) engine.recordInventory(agent, inventory, nowMs);
     else engine.recordUnreachable(agent, nowMs);
     this.leaderRole.scheduleFlush();
--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -73,6 +73,17 @@
 /** Size of the row values after which a batch takes no more rows, in bytes. */
 const MAX_BATCH_BYTES = 500_000; // a transaction holds 1 MB of base64
 
+/** What the leader takes as proof that the runs of a worker are over. */
+export const LossProof = {
+  /** The worker's agent concluded it and logged its own proof. */
+  AGENT_REPORT: 'agentReport',
+  /** The worker's agent concluded it and stored it. */
+  STORED_DEPARTURE: 'storedDeparture',
+  NEWER_INCARNATION: 'newerIncarnation',
+  CONTACT_TIMEOUT: 'contactTimeout',
+} as const;
+export type LossProof = (typeof LossProof)[keyof typeof LossProof];
+
 /** Log entry about one decision of the engine. */
 export interface EngineEvent {
   readonly event: string;
@@ -81,9 +92,12 @@
   readonly run?: number;
   readonly worker?: string;
   readonly reason?: string;
+  readonly proof?: LossProof;
   /** Why a run was stopped, if the leader ordered it. */
   readonly stopCause?: DiscardCause;
   readonly ms?: number;
+  /** Time since the last contact with the worker's agent. */
+  readonly sinceContactMs?: number;
   /** Work that is lost and has to be done again, in core-ms. */
   readonly lostCoreMs?: number;
 }
@@ -171,7 +185,12 @@
   /** Records that a worker terminated, as its agent stored. */
   recordDeparture(key: string, nowMs: number): void {
     this.departedWorkers.add(key);
-    this.markWorkerLost(key, 'its agent stored that it terminated', nowMs);
+    this.markWorkerLost(
+      key,
+      'its agent stored that it terminated',
+      nowMs,
+      LossProof.STORED_DEPARTURE,
+    );
   }
 
   /** Records contact with an agent, so that its runs still count as alive. */
@@ -274,7 +293,13 @@
     this.pool.get(worker)?.release(refusal.task, refusal.run);
     const task = this.findPlacedTask(worker, refusal);
     if (!task) return;
-    this.log({event: 'startRefused', task: task.name, worker, reason});
+    this.log({
+      event: 'startRefused',
+      task: task.name,
+      run: task.run,
+      worker,
+      reason,
+    });
     const trackedWorker = this.pool.get(worker);
     if (trackedWorker && !task.isStopping)
       trackedWorker.blockedUntilMs = nowMs + REFUSED_WORKER_BACKOFF_MS;
@@ -286,17 +311,31 @@
    * Ends all runs of a worker that terminated or whose leases have all expired. Agents
    * report this repeatedly, so a worker that is no longer known is ignored.
    */
-  markWorkerLost(key: string, reason: string, nowMs: number): void {
+  markWorkerLost(
+    key: string,
+    reason: string,
+    nowMs: number,
+    proof?: LossProof,
+  ): void {
     if (!this.pool.get(key) && !this.placedByWorker.has(key)) return;
     const tasks = [...(this.placedByWorker.get(key) ?? [])];
-    this.log({event: 'workerLost', worker: key, reason});
+    const contactMs = this.lastContactMs.get(agentOf(key));
+    this.log({
+      event: 'workerLost',
+      worker: key,
+      reason,
+      sinceContactMs:
+        contactMs === undefined ? undefined : Math.round(nowMs - contactMs),
+    });
     this.pool.remove(key);
     for (const task of tasks) {
       this.log({
         event: 'runLost',
         task: task.name,
         run: task.run,
+        worker: key,
         reason,
+        proof,
         lostCoreMs: this.recordDiscarded(task, DiscardCause.WORKER_LOST, nowMs),
       });
       this.endPlacement(task, nowMs);
@@ -543,6 +582,7 @@
           key,
           'no contact with the agent within the contact timeout',
           nowMs,
+          LossProof.CONTACT_TIMEOUT,
         );
     }
   }
