--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -9,7 +9,7 @@
   rowKeys,
 } from '../jobs/job_rows.js';
 import {type WorkerReport, workerKey} from '../jobs/worker_pool.js';
-import {type EventLog, type ComponentLog} from '../plugins/event_log.js';
+import {type ComponentLog, type EventLog} from '../plugins/event_log.js';
 import {LoopDelayMonitor} from '../plugins/loop_delay_monitor.js';
 import {type Metrics} from '../plugins/metrics.js';
 import {type StateStore} from '../ports/state_store.js';
@@ -27,6 +27,7 @@
 import {LeaderSearch} from './leader_search.js';
 import {LeaderContact, LeaseRenewer, type LeaseTimes} from './lease_renewer.js';
 import {ReportSchedule} from './report_schedule.js';
+import {RunProof} from './run_conclusion.js';
 import {WorkerDriver} from './worker_driver.js';
 
 /** Maximum interval between reports to the leader, in ms. */
@@ -75,6 +76,8 @@
   private otherIncarnation: WorkerReport | undefined;
   /** Key of the worker that terminated last; late heartbeats of it are ignored. */
   private departedWorker: string | undefined;
+  /** Key of the incarnation whose late heartbeat was logged last. */
+  private otherHeartbeatLogged: string | undefined;
   private epoch = 0;
   /** Link address of the gate that answered as leader; undefined if there is none. */
   private leaderAddress: string | undefined;
@@ -137,9 +140,12 @@
   recordHeartbeat(report: WorkerReport): void {
     const {driver} = this;
     const key = workerKey(this.options.name, report.id, report.bornMs);
-    if (key === this.departedWorker) return;
+    if (key === this.departedWorker) {
+      this.logOtherHeartbeat(key);
+      return;
+    }
     if (driver && key !== driver.key) {
-      this.recordOtherIncarnation(driver, key, report);
+      this.recordOtherIncarnation(driver, report);
       return;
     }
     if (!driver) this.startDriver(report);
@@ -154,7 +160,6 @@
    */
   private recordOtherIncarnation(
     driver: WorkerDriver,
-    key: string,
     report: WorkerReport,
   ): void {
     const {otherIncarnation: known} = this;
@@ -162,16 +167,21 @@
       known?.id === report.id && known.bornMs === report.bornMs;
     this.otherIncarnation = report;
     if (isRepeated) return;
-    this.log.logEvent('heartbeatOfOtherIncarnation', {
-      worker: key,
-      known: driver.key,
-    });
+    this.logOtherHeartbeat(
+      workerKey(this.options.name, report.id, report.bornMs),
+    );
     void driver.verifyIncarnation();
   }
 
   /** Records that the worker deregistered; it terminates now or a little later. */
   recordDeregistration(workerId: string): void {
-    if (this.driver?.id === workerId) this.driver.recordDeregistration();
+    const {driver} = this;
+    this.log.logEvent('workerDeregistered', {
+      id: workerId,
+      known: driver?.key,
+      ...driver?.facts(),
+    });
+    if (driver?.id === workerId) driver.recordDeregistration();
   }
 
   /** Stops the agent but not the worker's runs; the next agent process adopts them. */
@@ -184,7 +194,8 @@
   }
 
   private startDriver(report: WorkerReport): void {
-    this.driver?.close();
+    const replaced = this.driver;
+    replaced?.close();
     this.tokens.raise();
     const {worker, clock, logs, metrics} = this.ctx;
     const driver: WorkerDriver = new WorkerDriver(this.options.name, report, {
@@ -198,11 +209,19 @@
       onStatusChange: () => this.scheduleReport(),
       onOtherIncarnation: hasSameId =>
         this.onOtherIncarnation(driver, hasSameId),
-      onDeparture: () =>
-        this.recordDeparture(driver, 'it announced its end and is not running'),
+      onDeparture: () => {
+        if (this.driver === driver)
+          this.logConclusions(driver, RunProof.CONNECTIONS_REFUSED);
+        this.recordDeparture(driver, 'it announced its end and is not running');
+      },
     });
     this.driver = driver;
-    this.log.logEvent('workerFound', {worker: driver.key, epoch: this.epoch});
+    this.log.logEvent('workerFound', {
+      worker: driver.key,
+      epoch: this.epoch,
+      replaces: replaced?.key,
+      runsReplaced: replaced?.facts().runs,
+    });
   }
 
   /**
@@ -216,12 +235,32 @@
     if (hasSameId) {
       driver.close();
       this.driver = undefined;
-    } else this.discardDriver(driver, 'another incarnation answered');
+    } else {
+      this.logConclusions(driver, RunProof.OTHER_INCARNATION);
+      this.discardDriver(driver, 'another incarnation answered');
+    }
     const {otherIncarnation: next} = this;
     this.otherIncarnation = undefined;
     if (next) this.recordHeartbeat(next);
   }
 
+  /** Logs that all runs of a worker are taken to be over. */
+  private logConclusions(driver: WorkerDriver, proof: RunProof): void {
+    const facts = driver.facts();
+    this.ctx.metrics.increment(`runs_concluded_${proof}`, facts.runs);
+    this.log.logEvent('runsConcluded', {worker: driver.key, proof, ...facts});
+  }
+
+  private logOtherHeartbeat(key: string): void {
+    if (this.otherHeartbeatLogged === key) return;
+    this.otherHeartbeatLogged = key;
+    this.log.logEvent('heartbeatOfOtherIncarnation', {
+      worker: key,
+      known: this.driver?.key,
+      departed: this.departedWorker,
+    });
+  }
+
   private recordDeparture(driver: WorkerDriver, reason: string): void {
     if (this.driver !== driver) return;
     this.log.logEvent('workerLeft', {worker: driver.key, reason});
@@ -267,6 +306,7 @@
     this.leaderSearch.tick(openAddresses.length > 0);
     if (this.driver?.takeLeaseExpiry()) {
       this.log.logEvent('leasesLapsed', {worker: this.driver.key});
+      this.logConclusions(this.driver, RunProof.LEASES_EXPIRED);
       this.reportLostWorker({
         worker: this.driver.key,
         reason: 'all leases ran out',
--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -21,6 +21,7 @@
 import {DepartureDetector} from './departure_detector.js';
 import {type FencingTokens} from './fencing_tokens.js';
 import {type LeaseRenewer} from './lease_renewer.js';
+import {type RunConclusion, RunProof} from './run_conclusion.js';
 import {RunTable} from './run_table.js';
 
 /**
@@ -36,6 +37,27 @@
 /** Time without an answer after which the worker gets no new runs, in ms. */
 const UNREACHABLE_AFTER_MS = 2500; // longer than one poll including its timeout
 
+/** State of a worker as one process knows it, for the log. */
+export interface WorkerFacts {
+  /** Number of runs that have not been proven to be over. */
+  readonly runs: number;
+  /** Whether the worker has sent its lists. */
+  readonly hadLists: boolean;
+  /** Time since the worker's last answer to a renewal. */
+  readonly sinceAnswerMs: number;
+  /** Time for which this process has known the incarnation. */
+  readonly trackedMs: number;
+  /** Latest lease end that this process requested; absent if there is none. */
+  readonly leaseEndMs?: number;
+  /** Estimate of the worker's clock, without its rate error. */
+  readonly workerClockMs?: number;
+  readonly draining: boolean;
+  /** Time since the earliest end that a draining worker announced. */
+  readonly drainOverdueMs?: number;
+  /** Time for which connections have been refused. */
+  readonly refusedMs?: number;
+}
+
 export interface WorkerDriverContext {
   readonly worker: TaskWorker;
   readonly clock: Clock;
@@ -59,6 +81,10 @@
   private readonly departure = new DepartureDetector();
   private report: WorkerReport;
   private lastAnswerAtMs: number;
+  private readonly trackedSinceMs: number;
+  /** Latest lease end that this process requested, on the worker's clock. */
+  private requestedLeaseEndMs: number | undefined;
+  private workerClock: {clockMs: number; receivedAtMs: number} | undefined;
   private isClosed = false;
   private isExpiryReported = false;
   private hasRunLists = false;
@@ -75,7 +101,8 @@
     this.report = report;
     this.key = workerKey(agent, report.id, report.bornMs);
     this.table = new RunTable(this.key);
-    this.lastAnswerAtMs = ctx.clock.nowMs();
+    this.trackedSinceMs = ctx.clock.nowMs();
+    this.lastAnswerAtMs = this.trackedSinceMs;
     this.departure.recordHeartbeat(report, this.lastAnswerAtMs);
     void this.poll();
   }
@@ -95,10 +122,6 @@
   }
 
   recordDeregistration(): void {
-    this.ctx.log.logEvent('workerDeregistered', {
-      worker: this.key,
-      runs: this.table.runs().length,
-    });
     this.departure.recordDeregistration(this.ctx.clock.nowMs());
   }
 
@@ -129,6 +152,25 @@
     return this.table.takeRefusals();
   }
 
+  /** What this process knows of the worker's state, for the log. */
+  facts(): WorkerFacts {
+    const nowMs = this.ctx.clock.nowMs();
+    const {workerClock, requestedLeaseEndMs, report, departure} = this;
+    const workerClockMs =
+      workerClock &&
+      Math.round(workerClock.clockMs + nowMs - workerClock.receivedAtMs);
+    return {
+      runs: this.table.runs().length,
+      hadLists: this.hasRunLists,
+      sinceAnswerMs: Math.round(nowMs - this.lastAnswerAtMs),
+      trackedMs: Math.round(nowMs - this.trackedSinceMs),
+      leaseEndMs: requestedLeaseEndMs,
+      workerClockMs,
+      draining: report.draining,
+      ...departure.facts(nowMs),
+    };
+  }
+
   /** Returns true once when all leases have expired while the worker was unreachable. */
   takeLeaseExpiry(): boolean {
     const nowMs = this.ctx.clock.nowMs();
@@ -144,8 +186,7 @@
     const {clock} = this.ctx;
     if (!this.table.addStarting(task, run, clock.nowMs())) return;
     const retryUntilMs = clock.nowMs() + START_RETRY_TIMEOUT_MS;
-    // An earlier process of this agent may have sent it.
-    let mayHaveStarted = order.isRepeated;
+    let unansweredAttempts = 0;
     let reason: string = 'no answer in time';
     while (this.shouldStart(order) && clock.nowMs() < retryUntilMs) {
       const {token} = this;
@@ -157,7 +198,7 @@
       }
       if (reply.type === 'started') return this.confirm(order);
       if (reply.type === 'otherIncarnation') return;
-      if (reply.type === 'unanswered') mayHaveStarted = true;
+      if (reply.type === 'unanswered') unansweredAttempts++;
       else if (reply.type === 'rejected') {
         ({reason} = reply);
         const isTokenOutdated =
@@ -167,7 +208,17 @@
       } else await sleep(RETRY_DELAY_MS);
     }
     if (!this.shouldStart(order)) return;
+    // An earlier process of this agent may have sent a repeated order.
+    const mayHaveStarted = order.isRepeated || unansweredAttempts > 0;
     if (!mayHaveStarted) return this.recordRefusal(order, reason);
+    this.ctx.log.logEvent('startUnresolved', {
+      task,
+      run,
+      worker: this.key,
+      reason,
+      unansweredAttempts,
+      isRepeated: order.isRepeated,
+    });
     // The start may still be carried out, so the run is stopped before it is reported.
     await this.stop({...order, type: 'stop'});
   }
@@ -185,8 +236,10 @@
         CALL_TIMEOUT_MS,
       );
       this.ctx.log.logEvent('stopSent', {task, run, epoch, result: reply});
-      if (reply === 'otherIncarnation')
+      if (reply === 'otherIncarnation') {
+        this.logOtherIncarnation('stop');
         return this.ctx.onOtherIncarnation(false);
+      }
       if (reply === 'stopped') {
         this.table.recordStopAnswer(task, run, clock.nowMs());
         await this.renew(0);
@@ -229,6 +282,7 @@
     if (this.isSilent) return {type: 'unreachable'};
     const leaseUntilMs = lease.nextLeaseUntilMs(readClocks(this.ctx.clock));
     if (leaseUntilMs === undefined) return 'noLease';
+    this.recordLeaseRequest(leaseUntilMs);
     const epoch = this.ctx.epoch();
     const {task, run, payload, checkpoint} = order;
     const reply = await worker.start(
@@ -239,11 +293,15 @@
     const nowMs = clock.nowMs();
     if ('clockMs' in reply && reply.clockMs !== undefined)
       lease.recordClock(reply.clockMs, startMs, nowMs);
-    if (reply.type === 'otherIncarnation') this.ctx.onOtherIncarnation(false);
+    if (reply.type === 'otherIncarnation') {
+      this.logOtherIncarnation('start');
+      this.ctx.onOtherIncarnation(false);
+    }
     metrics.recordDuration('start_call', nowMs - startMs);
     log.logEvent('startSent', {
       task,
       run,
+      worker: this.key,
       epoch,
       result: reply.type,
       reason: 'reason' in reply ? reply.reason : undefined,
@@ -258,6 +316,14 @@
   }
 
   private recordRefusal(order: StartOrder, reason: string): void {
+    const {task, run} = order;
+    this.logConclusion({
+      task,
+      run,
+      proof: RunProof.START_REJECTED,
+      // Attempts of an earlier process are not known.
+      facts: {reason, trackedMs: this.facts().trackedMs},
+    });
     this.table.recordRefusal(order.task, order.run, reason);
     this.ctx.onStatusChange();
   }
@@ -284,6 +350,10 @@
     const {worker, clock, lease} = this.ctx;
     const requestedAtMs = clock.nowMs();
     const fencingToken = this.token;
+    const leaseUntilMs = this.extendsLease
+      ? lease.nextLeaseUntilMs(readClocks(clock))
+      : undefined;
+    this.recordLeaseRequest(leaseUntilMs);
     const reply = await worker.renew(
       this.id,
       {
@@ -291,9 +361,7 @@
         // Numbers of ends start anew in each incarnation, so one that may have been
         // replaced gets no acknowledgement.
         acknowledgedUpTo: this.isSilent ? 0 : this.table.acknowledgedUpTo,
-        leaseUntilMs: this.extendsLease
-          ? lease.nextLeaseUntilMs(readClocks(this.ctx.clock))
-          : undefined,
+        leaseUntilMs,
         waitMs,
       },
       waitMs + CALL_TIMEOUT_MS,
@@ -352,11 +420,13 @@
   private applyReply(reply: RenewReply, requestedAtMs: number): boolean {
     const {clock, lease} = this.ctx;
     if (reply.type === 'otherIncarnation') {
+      this.logOtherIncarnation('renew');
       this.ctx.onOtherIncarnation(false);
       return false;
     }
     if (reply.type !== 'listed') return false;
     if (reply.bornMs !== this.report.bornMs) {
+      this.logOtherIncarnation('renew', reply.bornMs);
       this.ctx.onOtherIncarnation(true);
       return false;
     }
@@ -366,12 +436,45 @@
     this.hasRunLists = true;
     this.isExpiryReported = false;
     lease.recordClock(reply.clockMs, requestedAtMs, nowMs);
+    this.workerClock = {clockMs: reply.clockMs, receivedAtMs: nowMs};
     for (const end of reply.ended)
       if (end.number > this.table.acknowledgedUpTo)
         this.ctx.metrics.increment(`run_${end.kind}`);
     const call = {requestedAtMs, receivedAtMs: nowMs};
-    if (this.table.applyLists(reply, call) || isFirst)
-      this.ctx.onStatusChange();
+    const hasChanged = this.table.applyLists(reply, call);
+    for (const conclusion of this.table.takeConclusions())
+      this.logConclusion(conclusion, Math.round(nowMs - requestedAtMs));
+    if (hasChanged || isFirst) this.ctx.onStatusChange();
     return true;
   }
+
+  private recordLeaseRequest(untilMs: number | undefined): void {
+    if (untilMs === undefined) return;
+    this.requestedLeaseEndMs = Math.max(this.requestedLeaseEndMs ?? 0, untilMs);
+  }
+
+  private logConclusion(
+    {task, run, proof, facts}: RunConclusion,
+    listAgeMs?: number,
+  ): void {
+    this.ctx.metrics.increment(`runs_concluded_${proof}`);
+    this.ctx.log.logEvent('runConcluded', {
+      task,
+      run,
+      worker: this.key,
+      proof,
+      listAgeMs,
+      ...facts,
+    });
+  }
+
+  /** Logs that another incarnation answered; only lists contain its start time. */
+  private logOtherIncarnation(call: string, answeredBornMs?: number): void {
+    this.ctx.log.logEvent('otherIncarnationAnswered', {
+      worker: this.key,
+      call,
+      knownBornMs: this.report.bornMs,
+      answeredBornMs,
+    });
+  }
 }
