Test: a restarted worker executes a late start before its agent calls it

Fails on the current code: the task has two concurrent runs and is started twice: the run of the later incarnation is placed elsewhere at once.

The stand-in worker now restarts its clock, breaks calls in flight and forgets acknowledged ends at a restart, and can hold back starts and execute them in a later incarnation.

--- a/standins/task_worker.ts
+++ b/standins/task_worker.ts
@@ -68,8 +68,16 @@
   delayedStarts: number;
   /** Delay of such starts, in ms. */
   startDelayMs: number;
+  /** Number of upcoming starts that time out and are left to `executeHeldStarts`. */
+  heldStarts: number;
   /** Number of upcoming starts that are carried out but time out for the caller. */
   lostResponses: number;
+  /** Starts are rejected for lack of room. */
+  hasNoRoom: boolean;
+  /** Time that a run takes to end after a stop, in ms. */
+  stopMs: number;
+  /** Number of renewals after which the worker becomes unresponsive. */
+  renewalsUntilUnresponsive: number;
   /** Every run fails immediately after its start. */
   failsAllRuns: boolean;
 }
@@ -80,17 +88,30 @@
     isTerminated: false,
     delayedStarts: 0,
     startDelayMs: 0,
+    heldStarts: 0,
     lostResponses: 0,
+    hasNoRoom: false,
+    stopMs: 0,
+    renewalsUntilUnresponsive: Infinity,
     failsAllRuns: false,
   };
   /** Number of starts that were carried out. */
   startCount = 0;
+  /** Number of renewals that the current incarnation answered. */
+  answeredRenewals = 0;
+  /** A longer lease is shortened to this, in ms. */
+  maxLeaseMs = Infinity;
   private runs = new Map<string, Run>();
   private unacknowledgedEnds: EndedRun[] = [];
   private highestRunByTask = new Map<string, number>();
   private nextEndNumber = 1;
+  private acknowledgedUpTo = 0;
   private highestFencingToken = 0;
   private leaseUntilMs = 0;
+  /** Calls name the worker by its id, so a later incarnation may execute these. */
+  private heldStarts: Array<() => void> = [];
+  private restarts = 0;
+  private startedAtMs = 0;
   private timer: NodeJS.Timeout;
 
   constructor(
@@ -105,15 +126,28 @@
   }
 
   /** Simulates a crash and restart as a new incarnation, with the same or a new id. */
-  restart(id = this.id): void {
+  restart(id = this.id, bornMs = this.bornMs + 1): void {
     for (const run of this.runs.values()) this.monitor.recordEnd(run.task);
     this.runs.clear();
     this.unacknowledgedEnds = [];
     this.highestRunByTask.clear();
     this.nextEndNumber = 1;
+    this.acknowledgedUpTo = 0;
     this.highestFencingToken = 0;
+    this.leaseUntilMs = 0;
+    this.answeredRenewals = 0;
+    this.startedAtMs = this.clock.nowMs();
+    this.restarts++;
     this.id = id;
-    this.bornMs++;
+    this.bornMs = bornMs;
+  }
+
+  get hasHeldStarts(): boolean {
+    return this.heldStarts.length > 0;
+  }
+
+  executeHeldStarts(): void {
+    for (const execute of this.heldStarts.splice(0)) execute();
   }
 
   /** Ends all runs without listing their ends; later calls are refused. */
@@ -139,6 +173,11 @@
       setTimeout(() => this.tryStart(workerId, req), this.faults.startDelayMs);
       return this.waitForTimeout(timeoutMs);
     }
+    if (this.faults.heldStarts > 0) {
+      this.faults.heldStarts--;
+      this.heldStarts.push(() => this.tryStart(workerId, req));
+      return this.waitForTimeout(timeoutMs);
+    }
     const reply = this.tryStart(workerId, req);
     if (this.faults.lostResponses === 0) return reply;
     this.faults.lostResponses--;
@@ -159,7 +198,7 @@
     if (fencingToken < this.highestFencingToken) return 'fenced';
     this.highestFencingToken = fencingToken;
     const running = this.runs.get(run.task);
-    if (running?.run === run.run) this.end(running, RunEndKind.STOPPED);
+    if (running?.run === run.run) this.stopRun(running);
     this.raiseHighestRun(run);
     return 'stopped';
   }
@@ -169,6 +208,8 @@
     req: RenewRequest,
     timeoutMs: number,
   ): Promise<RenewReply> {
+    if (this.faults.renewalsUntilUnresponsive-- <= 0)
+      this.faults.isUnresponsive = true;
     await new Promise(resolve => setImmediate(resolve));
     if (this.faults.isTerminated) return {type: 'refused'};
     if (this.faults.isUnresponsive) {
@@ -178,21 +219,16 @@
     if (workerId !== this.id) return {type: 'otherIncarnation'};
     if (req.fencingToken < this.highestFencingToken) return {type: 'fenced'};
     this.highestFencingToken = req.fencingToken;
-    this.leaseUntilMs = Math.max(this.leaseUntilMs, req.leaseUntilMs ?? 0);
-    for (const endRun of this.unacknowledgedEnds)
-      if (
-        endRun.number <= req.acknowledgedUpTo &&
-        endRun.kind === RunEndKind.DONE
-      )
-        this.monitor.recordAcknowledgedDone(endRun.task);
-    this.unacknowledgedEnds = this.unacknowledgedEnds.filter(
-      e => e.number > req.acknowledgedUpTo,
-    );
+    this.extendLease(req.leaseUntilMs ?? 0);
+    this.acknowledge(req.acknowledgedUpTo);
+    const {restarts} = this;
     if (req.waitMs > 0 && this.unacknowledgedEnds.length === 0)
       await this.waitForEnd(req);
+    if (restarts !== this.restarts) return {type: 'unanswered'};
+    this.answeredRenewals++;
     return {
       type: 'listed',
-      clockMs: Math.floor(this.clock.nowMs()),
+      clockMs: this.readClock(),
       bornMs: this.bornMs,
       running: [...this.runs.values()].map(({task, run}) => ({
         task,
@@ -214,7 +250,7 @@
   }
 
   private tryStart(workerId: string, req: StartRequest): StartReply {
-    const clockMs = Math.floor(this.clock.nowMs());
+    const clockMs = this.readClock();
     if (workerId !== this.id) return {type: 'otherIncarnation'};
     const reject = (reason: RejectReason): StartReply => ({
       type: 'rejected',
@@ -229,7 +265,8 @@
     if (req.run <= (this.highestRunByTask.get(req.task) ?? 0))
       return reject(RejectReason.OUTDATED);
     if (req.leaseUntilMs <= clockMs) return reject(RejectReason.LATE);
-    this.leaseUntilMs = Math.max(this.leaseUntilMs, req.leaseUntilMs);
+    this.extendLease(req.leaseUntilMs);
+    if (this.faults.hasNoRoom) return reject(RejectReason.NO_ROOM);
     const run = {
       task: req.task,
       run: req.run,
@@ -242,14 +279,46 @@
     return {type: 'started', clockMs};
   }
 
+  /** Time of the worker's own clock, which starts anew with each incarnation. */
+  private readClock(): number {
+    return Math.floor(this.clock.nowMs() - this.startedAtMs);
+  }
+
+  private extendLease(untilMs: number): void {
+    const longestMs = this.readClock() + this.maxLeaseMs;
+    this.leaseUntilMs = Math.max(
+      this.leaseUntilMs,
+      Math.min(untilMs, longestMs),
+    );
+  }
+
+  /** Ends up to `upTo` are never listed again, even if they are still to come. */
+  private acknowledge(upTo: number): void {
+    this.acknowledgedUpTo = Math.max(this.acknowledgedUpTo, upTo);
+    for (const {number, kind, task} of this.unacknowledgedEnds)
+      if (number <= this.acknowledgedUpTo && kind === RunEndKind.DONE)
+        this.monitor.recordAcknowledgedDone(task);
+    this.unacknowledgedEnds = this.unacknowledgedEnds.filter(
+      e => e.number > this.acknowledgedUpTo,
+    );
+  }
+
   private endDueRuns(): void {
-    const nowMs = this.clock.nowMs();
+    const nowMs = this.readClock();
     for (const run of [...this.runs.values()]) {
       if (nowMs >= this.leaseUntilMs) this.end(run, RunEndKind.LAPSED);
       else if (nowMs >= run.endsAtMs) this.end(run, RunEndKind.DONE);
     }
   }
 
+  private stopRun(run: Run): void {
+    const {stopMs} = this.faults;
+    if (stopMs === 0) return this.end(run, RunEndKind.STOPPED);
+    setTimeout(() => {
+      if (this.runs.get(run.task) === run) this.end(run, RunEndKind.STOPPED);
+    }, stopMs);
+  }
+
   private end(run: Run, kind: RunEndKind): void {
     this.runs.delete(run.task);
     this.raiseHighestRun(run);
@@ -261,6 +330,7 @@
       kind,
       checkpoint: '',
     });
+    this.acknowledge(this.acknowledgedUpTo);
   }
 
   private raiseHighestRun(run: RunRef): void {
@@ -270,7 +340,9 @@
 
   private async waitForEnd(req: RenewRequest): Promise<void> {
     const deadlineMs = this.clock.nowMs() + req.waitMs;
+    const {restarts} = this;
     while (
+      restarts === this.restarts &&
       this.unacknowledgedEnds.length === 0 &&
       this.clock.nowMs() < deadlineMs
     )
--- /dev/null
+++ b/tests/features/run_ends.feature
@@ -0,0 +1,14 @@
+Feature: A run is placed again only once its first start can no longer run
+
+  # Guards against runs of a restarted worker that count as ended with the earlier incarnation.
+  Scenario: A restarted worker executes a late start before its agent calls it
+    Given 1 gates and 1 agents whose tasks run 3000 ms
+    And the worker holds back starts, and takes 500 ms to stop a run
+    When a task is submitted that needs a worker of kind a
+    And the worker has got a start
+    And another agent joins
+    And the worker restarts with the same id as kind b
+    And it executes the starts that it held back
+    Then all jobs are completed
+    And no invariant of runs is violated
+    And no task was started twice
--- a/tests/steps/job_steps.ts
+++ b/tests/steps/job_steps.ts
@@ -62,12 +62,13 @@
 let endedJobRetentionMs: number | undefined;
 let takeoverMs: number | undefined;
 let contactTimeoutMs: number | undefined;
+let leaseMs: number | undefined;
 let firstLeader: GateHandle | undefined;
 let impossible: JobSpec | undefined;
 let killedAtMs = 0;
 let startCountsAtKill = new Map<string, number>();
 
-function runningCluster(): JobCluster {
+export function runningCluster(): JobCluster {
   assert.ok(cluster, 'expected the scenario to start its gates first');
   return cluster;
 }
@@ -78,6 +79,11 @@
   endedJobRetentionMs = undefined;
   takeoverMs = undefined;
   contactTimeoutMs = undefined;
+  leaseMs = undefined;
+});
+
+Given('leases last {int} ms', (ms: number) => {
+  leaseMs = ms;
 });
 
 Given('ended jobs are kept for {int} ms', (ms: number) => {
@@ -108,7 +114,7 @@
   },
 );
 
-async function submitJob(job: JobSpec, at?: GateHandle): Promise<void> {
+export async function submitJob(job: JobSpec, at?: GateHandle): Promise<void> {
   const gate = (at ?? runningCluster().gates[0]).gate;
   await runningCluster().until(`job ${job.id} is accepted`, async () => {
     const result = await gate.jobService.submit(job, SUBMIT_TIMEOUT_MS);
@@ -148,6 +154,7 @@
   {timeout: STEP_TIMEOUT_MS},
   async (gates: number, agents: number, runMs: number) => {
     cluster = new JobCluster();
+    if (leaseMs) cluster.setLeaseMs(leaseMs);
     Object.assign(cluster.times, endedJobRetentionMs && {endedJobRetentionMs});
     Object.assign(cluster.times, takeoverMs && {takeoverMs});
     Object.assign(cluster.times, contactTimeoutMs && {contactTimeoutMs});
