--- a/tests/features/run_ends.feature
+++ b/tests/features/run_ends.feature
@@ -12,3 +12,16 @@
     Then all jobs are completed
     And no invariant of runs is violated
     And no task was started twice
+
+  # Guards against a conclusion from the restart alone, before the worker has listed its runs.
+  Scenario: A restarted worker executes a late start before its first heartbeat
+    Given 1 gates and 1 agents whose tasks run 3000 ms
+    And the worker holds back starts, and takes 500 ms to stop a run
+    When a task is submitted that needs a worker of kind a
+    And the worker has got a start
+    And another agent joins
+    And the worker restarts with the same id as kind b
+    And it executes the starts that it held back
+    And its next heartbeat comes 2000 ms later
+    Then all jobs are completed
+    And no invariant of runs is violated
