--- a/tests/features/run_ends.feature
+++ b/tests/features/run_ends.feature
@@ -25,3 +25,17 @@
     And its next heartbeat comes 2000 ms later
     Then all jobs are completed
     And no invariant of runs is violated
+
+  # Guards against fencing tokens that are not higher for the next incarnation of a worker.
+  Scenario: A restarted worker executes a late start while the task runs elsewhere
+    Given 1 gates and 1 agents whose tasks run 3000 ms
+    And the worker holds back starts, and takes 500 ms to stop a run
+    When a task is submitted that needs a worker of kind a
+    And the worker has got a start
+    And another agent joins
+    And the worker restarts with the same id as kind b
+    And the agent has received its lists
+    And 1 tasks are running
+    And it executes the starts that it held back
+    Then all jobs are completed
+    And no invariant of runs is violated
