--- a/tests/features/run_ends.feature
+++ b/tests/features/run_ends.feature
@@ -39,3 +39,15 @@
     And it executes the starts that it held back
     Then all jobs are completed
     And no invariant of runs is violated
+
+  # Guards against a task that runs again after its end was made durable.
+  Scenario: A restarted worker executes a late start of a task that is done
+    Given 1 gates and 1 agents whose tasks run 300 ms
+    And the worker holds back the next start
+    When 1 jobs of 1 tasks are submitted and run to their end
+    And the worker restarts with the same id as kind a
+    And the agent has received its lists
+    And it executes the starts that it held back
+    Then all jobs are completed
+    And no invariant of runs is violated
+    And no task was started twice
