--- a/tests/features/run_ends.feature
+++ b/tests/features/run_ends.feature
@@ -51,3 +51,14 @@
     Then all jobs are completed
     And no invariant of runs is violated
     And no task was started twice
+
+  # Guards against ends of a restarted worker that count as known from its earlier incarnation.
+  Scenario: An agent acknowledges ends of the earlier incarnation to a restarted worker
+    Given 1 gates and 1 agents whose tasks run 300 ms
+    When 1 jobs of 2 tasks are submitted and run to their end
+    And the worker restarts with the same id as kind a
+    And its next heartbeat comes 2000 ms later
+    And 1 jobs of 1 tasks are submitted
+    Then all jobs are completed
+    And no invariant of runs is violated
+    And no task was started twice
