--- a/tests/features/run_ends.feature
+++ b/tests/features/run_ends.feature
@@ -62,3 +62,13 @@
     Then all jobs are completed
     And no invariant of runs is violated
     And no task was started twice
+
+  # Guards against a call to deregister that counts as the end of the worker.
+  Scenario: A worker gets no answer to its call to deregister and works on
+    Given 1 gates and 1 agents whose tasks run 4000 ms
+    When 1 jobs of 1 tasks are submitted
+    And 1 tasks are running
+    And another agent joins
+    And the worker drains, deregisters and terminates 2500 ms later
+    Then all jobs are completed
+    And no invariant of runs is violated
