--- a/tests/features/run_ends.feature
+++ b/tests/features/run_ends.feature
@@ -72,3 +72,14 @@
     And the worker drains, deregisters and terminates 2500 ms later
     Then all jobs are completed
     And no invariant of runs is violated
+
+  # Guards against work that waits for the leases of a worker that deregistered and is gone.
+  Scenario: A worker deregisters and terminates at once
+    Given leases last 120000 ms
+    And 1 gates and 1 agents whose tasks run 600 ms
+    When 1 jobs of 1 tasks are submitted
+    And 1 tasks are running
+    And another agent joins
+    And the worker drains, deregisters and terminates 0 ms later
+    Then all jobs are completed
+    And no invariant of runs is violated
