--- a/tests/features/run_ends.feature
+++ b/tests/features/run_ends.feature
@@ -83,3 +83,16 @@
     And the worker drains, deregisters and terminates 0 ms later
     Then all jobs are completed
     And no invariant of runs is violated
+
+  # Guards against a refusal while a start of the previous agent process is unanswered.
+  Scenario: A restarted agent repeats a start that is rejected but was sent before
+    Given 1 gates and 1 agents whose tasks run 3000 ms
+    And the worker holds back starts, and takes 500 ms to stop a run
+    When 1 jobs of 1 tasks are submitted
+    And the worker has got a start
+    And another agent joins
+    And the agent is restarted and the worker has no room
+    And 1 tasks are running
+    And it executes the starts that it held back
+    Then all jobs are completed
+    And no invariant of runs is violated
