Test: a worker falls silent after the first call of an agent that restarted without a leader

Fails on the current code: the task has two concurrent runs: "all leases ran out" is said before those of the previous process have; with a leader at hand the first renewal sets the time and the scenario passes.

--- a/tests/features/run_ends.feature
+++ b/tests/features/run_ends.feature
@@ -84,6 +84,19 @@
     Then all jobs are completed
     And no invariant of runs is violated
 
+  # Guards against leases of the previous agent process that the next one does not wait for.
+  Scenario: A worker falls silent after the first call of an agent that restarted without a leader
+    Given leases last 5000 ms
+    And another gate takes over only after 1500 ms
+    And 2 gates and 1 agents whose tasks run 4500 ms
+    When 1 jobs of 1 tasks are submitted
+    And 1 tasks are running
+    And another agent joins
+    And the leader crashes
+    And the agent is restarted and gets one answer of the worker
+    Then all jobs are completed
+    And no invariant of runs is violated
+
   # Guards against a refusal while a start of the previous agent process is unanswered.
   Scenario: A restarted agent repeats a start that is rejected but was sent before
     Given 1 gates and 1 agents whose tasks run 3000 ms
