--- /dev/null
+++ b/tests/features/run_ends.feature
@@ -0,0 +1,111 @@
+Feature: A run is placed again only once its first start can no longer run
+
+  # Guards against runs of a restarted worker that count as ended with the earlier incarnation.
+  Scenario: A restarted worker executes a late start before its agent calls it
+    Given 1 gates and 1 agents whose tasks run 3000 ms
+    And the worker holds back starts, and takes 500 ms to stop a run
+    When a task is submitted that needs a worker of kind a
+    And the worker has got a start
+    And another agent joins
+    And the worker restarts with the same id as kind b
+    And it executes the starts that it held back
+    Then all jobs are completed
+    And no invariant of runs is violated
+    And no task was started twice
+
+  # Guards against a conclusion from the restart alone, before the worker has listed its runs.
+  Scenario: A restarted worker executes a late start before its first heartbeat
+    Given 1 gates and 1 agents whose tasks run 3000 ms
+    And the worker holds back starts, and takes 500 ms to stop a run
+    When a task is submitted that needs a worker of kind a
+    And the worker has got a start
+    And another agent joins
+    And the worker restarts with the same id as kind b
+    And it executes the starts that it held back
+    And its next heartbeat comes 2000 ms later
+    Then all jobs are completed
+    And no invariant of runs is violated
+
+  # Guards against fencing tokens that are not higher for the next incarnation of a worker.
+  Scenario: A restarted worker executes a late start while the task runs elsewhere
+    Given 1 gates and 1 agents whose tasks run 3000 ms
+    And the worker holds back starts, and takes 500 ms to stop a run
+    When a task is submitted that needs a worker of kind a
+    And the worker has got a start
+    And another agent joins
+    And the worker restarts with the same id as kind b
+    And the agent has received its lists
+    And 1 tasks are running
+    And it executes the starts that it held back
+    Then all jobs are completed
+    And no invariant of runs is violated
+
+  # Guards against a task that runs again after its end was made durable.
+  Scenario: A restarted worker executes a late start of a task that is done
+    Given 1 gates and 1 agents whose tasks run 300 ms
+    And the worker holds back the next start
+    When 1 jobs of 1 tasks are submitted and run to their end
+    And the worker restarts with the same id as kind a
+    And the agent has received its lists
+    And it executes the starts that it held back
+    Then all jobs are completed
+    And no invariant of runs is violated
+    And no task was started twice
+
+  # Guards against ends of a restarted worker that count as known from its earlier incarnation.
+  Scenario: An agent acknowledges ends of the earlier incarnation to a restarted worker
+    Given 1 gates and 1 agents whose tasks run 300 ms
+    When 1 jobs of 2 tasks are submitted and run to their end
+    And the worker restarts with the same id as kind a
+    And its next heartbeat comes 2000 ms later
+    And 1 jobs of 1 tasks are submitted
+    Then all jobs are completed
+    And no invariant of runs is violated
+    And no task was started twice
+
+  # Guards against a call to deregister that counts as the end of the worker.
+  Scenario: A worker gets no answer to its call to deregister and works on
+    Given 1 gates and 1 agents whose tasks run 4000 ms
+    When 1 jobs of 1 tasks are submitted
+    And 1 tasks are running
+    And another agent joins
+    And the worker drains, deregisters and terminates 2500 ms later
+    Then all jobs are completed
+    And no invariant of runs is violated
+
+  # Guards against work that waits for the leases of a worker that deregistered and is gone.
+  Scenario: A worker deregisters and terminates at once
+    Given leases last 120000 ms
+    And 1 gates and 1 agents whose tasks run 600 ms
+    When 1 jobs of 1 tasks are submitted
+    And 1 tasks are running
+    And another agent joins
+    And the worker drains, deregisters and terminates 0 ms later
+    Then all jobs are completed
+    And no invariant of runs is violated
+
+  # Guards against leases of the previous agent process that the next one does not wait for.
+  Scenario: A worker falls silent after the first call of an agent that restarted without a leader
+    Given leases last 5000 ms
+    And another gate takes over only after 1500 ms
+    And 2 gates and 1 agents whose tasks run 4500 ms
+    When 1 jobs of 1 tasks are submitted
+    And 1 tasks are running
+    And another agent joins
+    And the leader crashes
+    And the agent is restarted and gets one answer of the worker
+    Then all jobs are completed
+    And no invariant of runs is violated
+
+  # Guards against a refusal while a start of the previous agent process is unanswered.
+  Scenario: A restarted agent repeats a start that is rejected but was sent before
+    Given 1 gates and 1 agents whose tasks run 3000 ms
+    And the worker holds back starts, and takes 500 ms to stop a run
+    When 1 jobs of 1 tasks are submitted
+    And the worker has got a start
+    And another agent joins
+    And the agent is restarted and the worker has no room
+    And 1 tasks are running
+    And it executes the starts that it held back
+    Then all jobs are completed
+    And no invariant of runs is violated
