Order the links of an agent by when they were accepted

An earlier link whose first message arrives after one of the newer link took the newer one's place, and what it delivered counted as newer. The scenario 'What an earlier link of an agent still delivers is dropped' failed on the code before and passes.

--- a/src/gate/agent_server.ts
+++ b/src/gate/agent_server.ts
@@ -19,7 +19,11 @@
 export class AgentServer {
   private readonly server: WebSocketServer;
   private readonly links = new Set<AgentLink>();
+  /** The link of each agent that was accepted last. */
   private readonly linkByAgent = new Map<string, AgentLink>();
+  /** Numbers the accepted links. */
+  private readonly acceptNumbers = new WeakMap<AgentLink, number>();
+  private acceptedLinks = 0;
   private gates: readonly string[] = [];
 
   constructor(
@@ -84,13 +88,13 @@
     let sentGates: readonly string[] | undefined;
     const link: AgentLink = new Link(ws, gateJobCodec, this.ctx, {
       onMessage: message => {
-        if (agent === undefined) {
+        if (agent === undefined && this.isNewest(message.agent, link)) {
           agent = message.agent;
           this.linkByAgent.set(agent, link);
           this.log.logEvent('agentConnected', {agent});
         }
         // What an earlier link still delivers is older than what the newest has delivered.
-        if (this.linkByAgent.get(agent) !== link)
+        if (agent === undefined || this.linkByAgent.get(agent) !== link)
           return link.close('a newer link of the agent is open');
         const answer = this.onMessage(message);
         const {gates} = this;
@@ -105,5 +109,15 @@
       },
     });
     this.links.add(link);
+    this.acceptNumbers.set(link, ++this.acceptedLinks);
+  }
+
+  private isNewest(agent: string, link: AgentLink): boolean {
+    const known = this.linkByAgent.get(agent);
+    return !known || this.acceptNumber(link) > this.acceptNumber(known);
+  }
+
+  private acceptNumber(link: AgentLink): number {
+    return this.acceptNumbers.get(link) ?? 0;
   }
 }
--- a/tests/features/gate_links.feature
+++ b/tests/features/gate_links.feature
@@ -35,3 +35,11 @@
     When 4 jobs of 2 tasks are submitted
     And 8 tasks are running
     Then gates that do not lead have received no reports
+
+  # Guards against runs that are lost to a message that an older link delivers late.
+  Scenario: What an earlier link of an agent still delivers is dropped
+    Given a gate with two links from one agent
+    When the agent reports on the second link
+    And it reports on the first link
+    And it reports on the second link
+    Then the gate has received the reports of the second link only
--- a/tests/steps/gate_link_steps.ts
+++ b/tests/steps/gate_link_steps.ts
@@ -1,9 +1,21 @@
 /** Steps on the gates to which agents keep links. */
 import assert from 'node:assert/strict';
-import {Given, Then, When} from '@cucumber/cucumber';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {WebSocketDialer} from '../../src/agent/gate_dialer.js';
 import {GateDirectory} from '../../src/agent/gate_directory.js';
 import {STANDBY_LINKS} from '../../src/agent/gate_links.js';
+import {HybridClock} from '../../src/core/hybrid_clock.js';
+import {AgentServer} from '../../src/gate/agent_server.js';
 import {GateRegistry} from '../../src/gate/gate_registry.js';
+import {Link} from '../../src/links/link.js';
+import {EventLog} from '../../src/plugins/event_log.js';
+import {SystemClock} from '../../src/plugins/system_clock.js';
+import {
+  type AgentMessage,
+  type GateJobMessage,
+  agentJobCodec,
+} from '../../src/protocol/job_messages.js';
+import {SilentOutput} from '../fixtures/silent_output.js';
 
 const SEED_COUNT = 3;
 /** Interval between attempts to open a link, in ms. */
@@ -118,3 +130,92 @@
     assert.ok(!registry.addresses.includes('10.2.0.99:7000'));
   },
 );
+
+const LINK_TIMEOUT_MS = 10_000;
+
+interface TestLink {
+  readonly link: Link<GateJobMessage, AgentMessage>;
+  /** Resolves with the next event: an answer of the gate, or the end of the link. */
+  next(): Promise<void>;
+}
+
+let server: AgentServer | undefined;
+let agentLinks: TestLink[] = [];
+let receivedAtMs: number[] = [];
+
+/** Opens a link whose next event is waited for with `next`. */
+async function openLink(port: number): Promise<TestLink> {
+  const clock = new SystemClock();
+  const ws = new WebSocketDialer().dial(`127.0.0.1:${port}`);
+  let resolveNext: () => void = () => undefined;
+  const ctx = {
+    clock,
+    hybridClock: new HybridClock(clock),
+    timeoutMs: LINK_TIMEOUT_MS,
+  };
+  const link = new Link(ws, agentJobCodec, ctx, {
+    onMessage: () => resolveNext(),
+    onClosed: () => resolveNext(),
+  });
+  await new Promise(resolve => ws.on('open', resolve));
+  const next = (): Promise<void> =>
+    new Promise(resolve => (resolveNext = resolve));
+  return {link, next};
+}
+
+async function sendReport(index: number): Promise<void> {
+  const {link, next} = agentLinks[index];
+  const handled = next();
+  link.send({
+    type: 'report',
+    agent: 'agent-0',
+    sentAtMs: index + 1,
+    epoch: 1,
+    refusals: [],
+  });
+  await handled;
+}
+
+Given('a gate with two links from one agent', async () => {
+  const clock = new SystemClock();
+  const log = new EventLog('gate-0', clock, new SilentOutput());
+  receivedAtMs = [];
+  server = new AgentServer(
+    {host: '127.0.0.1', port: 0},
+    {
+      clock,
+      hybridClock: new HybridClock(clock),
+      timeoutMs: LINK_TIMEOUT_MS,
+    },
+    log.forComponent('agents'),
+    ({sentAtMs}) => {
+      receivedAtMs.push(sentAtMs);
+      return {
+        type: 'answer',
+        sentAtMs,
+        epoch: 1,
+        leads: true,
+        extendsLeases: true,
+      };
+    },
+  );
+  const port = await server.listening();
+  agentLinks = [await openLink(port), await openLink(port)];
+});
+
+When('the agent reports on the second link', () => sendReport(1));
+
+When('it reports on the second link', () => sendReport(1));
+
+When('it reports on the first link', () => sendReport(0));
+
+Then('the gate has received the reports of the second link only', () =>
+  assert.deepEqual(receivedAtMs, [2, 2]),
+);
+
+After(() => {
+  for (const {link} of agentLinks) link.close('the test is over');
+  server?.close();
+  agentLinks = [];
+  server = undefined;
+});
