--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -46,6 +46,7 @@
   rowKeys,
 } from './job_rows.js';
 import {
+  IncarnationHistory,
   WorkerPool,
   TrackedWorker,
   WorkerKeyIndex,
@@ -130,6 +131,7 @@
   private readonly placedByWorker = new Map<string, Set<TrackedTask>>();
   /** Workers that were reported, and workers on which runs are recorded. */
   private readonly knownWorkers = new WorkerKeyIndex();
+  private readonly incarnations = new IncarnationHistory();
   private readonly pool = new WorkerPool();
   private readonly lastContactMs = new Map<string, number>();
   private readonly planner = new Planner();
@@ -206,6 +208,7 @@
     const {worker, runs, ends} = inventory;
     const key = workerKey(agent, worker.id, worker.bornMs);
     if (this.departedWorkers.has(key)) return;
+    if (!this.incarnations.observe(agent, key)) return;
     this.replaceOtherIncarnations(agent, key, inventory, nowMs);
     this.recordContact(agent, nowMs);
     const trackedWorker = this.getOrAddWorker(agent, key, inventory);
--- a/src/jobs/worker_pool.ts
+++ b/src/jobs/worker_pool.ts
@@ -123,6 +123,24 @@
   }
 }
 
+/**
+ * The incarnation that each agent reported last. One that was followed by another does not
+ * come back, so what still arrives about it is late.
+ */
+export class IncarnationHistory {
+  private readonly current = new Map<string, string>();
+  private readonly replaced = new Set<string>();
+
+  /** Records the incarnation in a report; returns false if another has followed it. */
+  observe(agent: string, key: string): boolean {
+    if (this.replaced.has(key)) return false;
+    const previous = this.current.get(agent);
+    if (previous !== undefined && previous !== key) this.replaced.add(previous);
+    this.current.set(agent, key);
+    return true;
+  }
+}
+
 /** Keys of worker incarnations, with those of each agent. */
 export class WorkerKeyIndex {
   private readonly keysByAgent = new Map<string, Set<string>>();
