--- a/tests/features/run_ends.feature
+++ b/tests/features/run_ends.feature
@@ -109,3 +109,12 @@
     And it executes the starts that it held back
     Then all jobs are completed
     And no invariant of runs is violated
+
+  # Guards against a later incarnation that is taken for an older one and never used.
+  Scenario: A worker restarts with an earlier start time
+    Given 1 gates and 1 agents whose tasks run 800 ms
+    When 1 jobs of 2 tasks are submitted
+    And 2 tasks are running
+    And the worker restarts with the same id and an earlier start time
+    Then all jobs are completed
+    And no invariant of runs is violated
