--- a/tests/features/run_ends.feature
+++ b/tests/features/run_ends.feature
@@ -118,3 +118,14 @@
     And the worker restarts with the same id and an earlier start time
     Then all jobs are completed
     And no invariant of runs is violated
+
+  # Guards against a successor that knows runs on the earlier incarnation and ignores the later.
+  Scenario: A worker restarts with an earlier start time while there is no leader
+    Given another gate takes over only after 3000 ms
+    And 2 gates and 1 agents whose tasks run 800 ms
+    When 1 jobs of 2 tasks are submitted
+    And 2 tasks are running
+    And the leader crashes
+    And the worker restarts with the same id and an earlier start time
+    Then all jobs are completed
+    And no invariant of runs is violated
