--- a/tests/features/run_ends.feature
+++ b/tests/features/run_ends.feature
@@ -129,3 +129,14 @@
     And the worker restarts with the same id and an earlier start time
     Then all jobs are completed
     And no invariant of runs is violated
+
+  # Guards against runs that are lost to a heartbeat of an incarnation that is gone.
+  Scenario: A late heartbeat of an earlier incarnation has a later start time
+    Given 1 gates and 1 agents whose tasks run 1500 ms
+    When the worker restarts with the same id and an earlier start time
+    And 1 jobs of 2 tasks are submitted
+    And 2 tasks are running
+    And a heartbeat of its earlier incarnation arrives late
+    Then all jobs are completed
+    And no task was started twice
+    And no invariant of runs is violated
