--- a/tests/features/run_ends.feature
+++ b/tests/features/run_ends.feature
@@ -140,3 +140,9 @@
     Then all jobs are completed
     And no task was started twice
     And no invariant of runs is violated
+
+  # Guards against runs that are lost to a message that an older link delivers late.
+  Scenario: A late inventory of an earlier incarnation ends no runs
+    Given a leader that knows a run on a worker started at 2000 ms, whose earlier incarnation started at 1000 ms
+    When an inventory of the earlier incarnation arrives late
+    Then the run is not lost
