--- a/tests/features/run_ends.feature
+++ b/tests/features/run_ends.feature
@@ -146,3 +146,9 @@
     Given a leader that knows a run on a worker started at 2000 ms, whose earlier incarnation started at 1000 ms
     When an inventory of the earlier incarnation arrives late
     Then the run is not lost
+
+  # Guards against a decision between two incarnations by a wall clock that was set back.
+  Scenario: A late inventory of an earlier incarnation with a later start time ends no runs
+    Given a leader that knows a run on a worker started at 1000 ms, whose earlier incarnation started at 2000 ms
+    When an inventory of the earlier incarnation arrives late
+    Then the run is not lost
