--- a/tests/features/run_ends.feature
+++ b/tests/features/run_ends.feature
@@ -109,3 +109,46 @@
     And it executes the starts that it held back
     Then all jobs are completed
     And no invariant of runs is violated
+
+  # Guards against a later incarnation that is taken for an older one and never used.
+  Scenario: A worker restarts with an earlier start time
+    Given 1 gates and 1 agents whose tasks run 800 ms
+    When 1 jobs of 2 tasks are submitted
+    And 2 tasks are running
+    And the worker restarts with the same id and an earlier start time
+    Then all jobs are completed
+    And no invariant of runs is violated
+
+  # Guards against a successor that knows runs on the earlier incarnation and ignores the later.
+  Scenario: A worker restarts with an earlier start time while there is no leader
+    Given another gate takes over only after 3000 ms
+    And 2 gates and 1 agents whose tasks run 800 ms
+    When 1 jobs of 2 tasks are submitted
+    And 2 tasks are running
+    And the leader crashes
+    And the worker restarts with the same id and an earlier start time
+    Then all jobs are completed
+    And no invariant of runs is violated
+
+  # Guards against runs that are lost to a heartbeat of an incarnation that is gone.
+  Scenario: A late heartbeat of an earlier incarnation has a later start time
+    Given 1 gates and 1 agents whose tasks run 1500 ms
+    When the worker restarts with the same id and an earlier start time
+    And 1 jobs of 2 tasks are submitted
+    And 2 tasks are running
+    And a heartbeat of its earlier incarnation arrives late
+    Then all jobs are completed
+    And no task was started twice
+    And no invariant of runs is violated
+
+  # Guards against runs that are lost to a message that an older link delivers late.
+  Scenario: A late inventory of an earlier incarnation ends no runs
+    Given a leader that knows a run on a worker started at 2000 ms, whose earlier incarnation started at 1000 ms
+    When an inventory of the earlier incarnation arrives late
+    Then the run is not lost
+
+  # Guards against a decision between two incarnations by a wall clock that was set back.
+  Scenario: A late inventory of an earlier incarnation with a later start time ends no runs
+    Given a leader that knows a run on a worker started at 1000 ms, whose earlier incarnation started at 2000 ms
+    When an inventory of the earlier incarnation arrives late
+    Then the run is not lost
