--- a/spec/check_models.ts
+++ b/spec/check_models.ts
@@ -11,6 +11,11 @@
 import {type Model, explore} from './explore.js';
 import {GANG_RULES, type GangRules, makeGangModel} from './gang_model.js';
 import {RUN_RULES, type RunRules, makeRunModel} from './run_model.js';
+import {
+  WORKER_LIFE_RULES,
+  type WorkerLifeRules,
+  makeWorkerLifeModel,
+} from './worker_life_model.js';
 
 /** Result for one model, as specified or with one rule weakened. */
 export interface ModelReport {
@@ -35,6 +40,9 @@
     ...checkWithWeakenedRules(RUN_RULES, (rules: RunRules) =>
       makeRunModel(rules),
     ),
+    ...checkWithWeakenedRules(WORKER_LIFE_RULES, (rules: WorkerLifeRules) =>
+      makeWorkerLifeModel(rules),
+    ),
     ...checkWithWeakenedRules(CONFIG_RULES, (rules: ConfigRules) =>
       makeConfigModel(rules),
     ),
