--- a/spec/check_models.ts
+++ b/spec/check_models.ts
@@ -50,6 +50,24 @@
   ];
 }
 
+/** Explores larger state spaces than `checkModels`, with all rules only. */
+export function checkLargeModels(): ModelReport[] {
+  const run = makeRunModel(RUN_RULES, {leaders: 3, faults: 1});
+  const fourFaults = makeWorkerLifeModel(WORKER_LIFE_RULES, {
+    faults: 4,
+    runsOnWorker: 1,
+  });
+  const twoRuns = makeWorkerLifeModel(WORKER_LIFE_RULES, {
+    faults: 3,
+    runsOnWorker: 2,
+  });
+  return [
+    checkSpecified({...run, name: 'run, 3 leaders, 1 fault'}),
+    checkSpecified({...fourFaults, name: 'worker life, 4 faults'}),
+    checkSpecified({...twoRuns, name: 'worker life, 2 runs'}),
+  ];
+}
+
 function checkWithWeakenedRules<R extends object, S>(
   rules: R,
   makeModel: (rules: R) => Model<S>,
--- a/spec/main.ts
+++ b/spec/main.ts
@@ -1,8 +1,12 @@
-/** Prints the reports of all models. Exits with code 1 when a check fails. */
-import {checkModels} from './check_models.js';
+/**
+ * Prints the reports of all models, or with `--large` those of the larger state spaces.
+ * Exits with code 1 when a check fails.
+ */
+import {checkLargeModels, checkModels} from './check_models.js';
 
+const check = process.argv.includes('--large') ? checkLargeModels : checkModels;
 let failed = 0;
-for (const report of checkModels()) {
+for (const report of check()) {
   if (!report.passed) failed++;
   const name = report.weakened
     ? `${report.model} without ${report.weakened}`
--- a/spec/run_model.ts
+++ b/spec/run_model.ts
@@ -1,7 +1,7 @@
 /**
  * Model of run records, orders, leases and takeover for one task of a job, two workers
- * and two leaders. The second leader may take over at any time, and the first one may
- * continue without knowing it. Writes and starts may be delayed or lost.
+ * and two or three leaders. The next leader may take over at any time, and those before it
+ * may continue without knowing it. Writes and starts may be delayed or lost.
  */
 import {type Model, type Step} from './explore.js';
 
@@ -24,7 +24,10 @@
   readonly stopRevokesLateStart: boolean;
   /** A lost order is sent again. The run does not count as ended. */
   readonly lostOrderIsRepeated: boolean;
-  /** Orders name the incarnation of their worker. */
+  /**
+   * Orders name the incarnation of their worker. On the platform they name only its id;
+   * the worker life model does without this rule.
+   */
   readonly ordersNameIncarnation: boolean;
   /** Each placement has a higher run number than all placements before it. */
   readonly runNumbersIncrease: boolean;
@@ -76,10 +79,18 @@
 export const Reach = {
   ALL: 'all',
   FIRST: 'first',
+  FIRST_TWO: 'two',
   NONE: 'none',
 } as const;
 type Reach = (typeof Reach)[keyof typeof Reach];
 
+const REACHED_LEADERS: Readonly<Record<Reach, number>> = {
+  [Reach.ALL]: Infinity,
+  [Reach.FIRST]: 1,
+  [Reach.FIRST_TWO]: 2,
+  [Reach.NONE]: 0,
+};
+
 export interface EndState {
   readonly run: number;
   readonly isDone: boolean;
@@ -125,12 +136,20 @@
   readonly acknowledgedDone: boolean;
 }
 
+export interface RunLimits {
+  /** Number of leaders, each of which may take over from the one before it. */
+  readonly leaders: number;
+  /** At most `MAX_FAULTS_PER_HISTORY`. */
+  readonly faults: number;
+}
+
+const DEFAULT_LIMITS: RunLimits = {leaders: 2, faults: 2};
+
 /**
  * Stops, worker restarts and losses of contact count as faults. A takeover and delayed
  * or lost writes and orders do not.
  */
 const MAX_FAULTS_PER_HISTORY = 2;
-const LAST_LEADER = 1;
 const NO_WORKER = -1;
 const BOTH: readonly number[] = [0, 1];
 
@@ -156,23 +175,32 @@
   write: null,
 };
 
-export function makeRunModel(rules: RunRules): Model<RunModelState> {
+export function makeRunModel(
+  rules: RunRules,
+  limits: RunLimits = DEFAULT_LIMITS,
+): Model<RunModelState> {
+  const successors = Array.from(
+    {length: limits.leaders - 1},
+    () => NOT_LEADING,
+  );
   return {
     name: 'run',
     initial: {
       leaderEpoch: 1,
       row: WAITING_RECORD,
-      leaders: [{...NOT_LEADING, leads: true}, NOT_LEADING],
+      leaders: [{...NOT_LEADING, leads: true}, ...successors],
       workers: [NEW_WORKER, NEW_WORKER],
       starts: [],
-      faults: 0,
+      faults: MAX_FAULTS_PER_HISTORY - limits.faults,
       hasSucceeded: false,
       startedAfterDone: false,
       acknowledgedDone: false,
     },
     steps: state => [
       ...takeoverSteps(state, rules),
-      ...BOTH.flatMap(leaderIndex => leaderSteps(state, leaderIndex, rules)),
+      ...state.leaders.flatMap((leader, leaderIndex) =>
+        leaderSteps(state, leaderIndex, rules),
+      ),
       ...state.starts.flatMap(start => deliverStart(state, start, rules)),
       ...BOTH.flatMap(w => workerSteps(state, w, rules)),
     ],
@@ -203,9 +231,11 @@
     goals: [
       {name: 'the task is done', holds: s => s.row.phase === Phase.DONE},
       {
-        name: 'the successor completes the task after a third run',
+        name: 'the last leader completes the task although each fault ended a run',
         holds: s =>
-          s.row.phase === Phase.DONE && s.leaderEpoch === 2 && s.row.run >= 3,
+          s.row.phase === Phase.DONE &&
+          s.leaderEpoch === limits.leaders &&
+          s.row.run > limits.faults,
       },
       {
         name: 'a successful end is acknowledged',
@@ -326,13 +356,22 @@
   state: RunModelState,
   rules: RunRules,
 ): Step<RunModelState>[] {
-  if (state.leaderEpoch === 2) return [];
+  const {leaderEpoch} = state;
+  if (leaderEpoch === state.leaders.length) return [];
   const adopted =
     rules.recordedRunsAreAdopted || state.row.phase !== Phase.PLACED
       ? state.row
       : {...state.row, phase: Phase.WAITING, worker: NO_WORKER, incarnation: 0};
-  const next = withLeader(state, 1, {leads: true, localRecord: adopted});
-  return [{label: 'leader 1 takes over', next: {...next, leaderEpoch: 2}}];
+  const next = withLeader(state, leaderEpoch, {
+    leads: true,
+    localRecord: adopted,
+  });
+  return [
+    {
+      label: `leader ${leaderEpoch} takes over`,
+      next: {...next, leaderEpoch: leaderEpoch + 1},
+    },
+  ];
 }
 
 function leaderSteps(
@@ -363,7 +402,7 @@
   if (write === null) {
     if (!leads || isCommitted) return [];
     // The last leader has no successor, so delays of its writes need not be explored.
-    if (leaderIndex === LAST_LEADER)
+    if (leaderIndex === state.leaders.length - 1)
       return [
         {
           label: `leader ${leaderIndex} commits`,
@@ -445,7 +484,7 @@
 ): boolean {
   const {reach, epoch} = state.workers[w];
   if (epoch > epochOf(leaderIndex)) return false;
-  return reach === Reach.ALL || (reach === Reach.FIRST && leaderIndex === 0);
+  return leaderIndex < REACHED_LEADERS[reach];
 }
 
 /** Handles reports about the placed run, and the loss of contact with its worker. */
@@ -559,8 +598,8 @@
   const acceptsEpoch =
     !rules.agentsObeyHighestEpoch ||
     state.workers[w].epoch <= epochOf(leaderIndex);
-  if (!end || !acceptsEpoch || state.workers[w].reach === Reach.NONE) return [];
-  if (state.workers[w].reach === Reach.FIRST && leaderIndex !== 0) return [];
+  const isReached = leaderIndex < REACHED_LEADERS[state.workers[w].reach];
+  if (!end || !acceptsEpoch || !isReached) return [];
   const isDurable = isCommitted && write === null;
   if (rules.acknowledgeAfterCommit && !isDurable) return [];
   const isPlacedThere =
@@ -641,7 +680,7 @@
     }),
   });
   if (worker.reach === Reach.ALL)
-    for (const reach of [Reach.FIRST, Reach.NONE])
+    for (const reach of limitedReaches(state))
       steps.push({
         label: `worker ${w} loses contact (leaders it still reaches: ${reach})`,
         next: withWorker(afterFault, w, {reach}),
@@ -649,6 +688,12 @@
   return steps;
 }
 
+function limitedReaches({leaders}: RunModelState): Reach[] {
+  return leaders.length > 2
+    ? [Reach.FIRST, Reach.FIRST_TWO, Reach.NONE]
+    : [Reach.FIRST, Reach.NONE];
+}
+
 function completionSteps(
   state: RunModelState,
   w: number,
@@ -682,11 +727,11 @@
       }),
     },
   ];
-  const isInContact = worker.reach === Reach.FIRST && state.leaderEpoch === 1;
+  const reached = REACHED_LEADERS[worker.reach];
+  const isInContact = state.leaderEpoch <= reached;
   if (worker.isUnresponsive || isInContact) return steps;
   const areLeasesExtended =
-    worker.reach === Reach.FIRST &&
-    state.leaders[0].leads &&
+    state.leaders.slice(0, reached).some(leader => leader.leads) &&
     !rules.staleLeaderExtendsNoLease;
   const next =
     rules.contactTimeoutExceedsLease && !areLeasesExtended
