--- a/spec/check_models.ts
+++ b/spec/check_models.ts
@@ -11,6 +11,11 @@
 import {type Model, explore} from './explore.js';
 import {GANG_RULES, type GangRules, makeGangModel} from './gang_model.js';
 import {RUN_RULES, type RunRules, makeRunModel} from './run_model.js';
+import {
+  WORKER_LIFE_RULES,
+  type WorkerLifeRules,
+  makeWorkerLifeModel,
+} from './worker_life_model.js';
 
 /** Result for one model, as specified or with one rule weakened. */
 export interface ModelReport {
@@ -35,6 +40,9 @@
     ...checkWithWeakenedRules(RUN_RULES, (rules: RunRules) =>
       makeRunModel(rules),
     ),
+    ...checkWithWeakenedRules(WORKER_LIFE_RULES, (rules: WorkerLifeRules) =>
+      makeWorkerLifeModel(rules),
+    ),
     ...checkWithWeakenedRules(CONFIG_RULES, (rules: ConfigRules) =>
       makeConfigModel(rules),
     ),
@@ -42,6 +50,24 @@
   ];
 }
 
+/** Explores larger state spaces than `checkModels`, with all rules only. */
+export function checkLargeModels(): ModelReport[] {
+  const run = makeRunModel(RUN_RULES, {leaders: 3, faults: 1});
+  const fourFaults = makeWorkerLifeModel(WORKER_LIFE_RULES, {
+    faults: 4,
+    runsOnWorker: 1,
+  });
+  const twoRuns = makeWorkerLifeModel(WORKER_LIFE_RULES, {
+    faults: 3,
+    runsOnWorker: 2,
+  });
+  return [
+    checkSpecified({...run, name: 'run, 3 leaders, 1 fault'}),
+    checkSpecified({...fourFaults, name: 'worker life, 4 faults'}),
+    checkSpecified({...twoRuns, name: 'worker life, 2 runs'}),
+  ];
+}
+
 function checkWithWeakenedRules<R extends object, S>(
   rules: R,
   makeModel: (rules: R) => Model<S>,
