--- a/standins/task_worker.ts
+++ b/standins/task_worker.ts
@@ -194,6 +194,7 @@
       await this.waitForTimeout(timeoutMs);
       return 'unanswered';
     }
+    if (this.faults.isTerminated) return 'unanswered';
     if (workerId !== this.id) return 'otherIncarnation';
     if (fencingToken < this.highestFencingToken) return 'fenced';
     this.highestFencingToken = fencingToken;
@@ -224,7 +225,8 @@
     const {restarts} = this;
     if (req.waitMs > 0 && this.unacknowledgedEnds.length === 0)
       await this.waitForEnd(req);
-    if (restarts !== this.restarts) return {type: 'unanswered'};
+    if (restarts !== this.restarts || this.faults.isTerminated)
+      return {type: 'unanswered'};
     this.answeredRenewals++;
     return {
       type: 'listed',
@@ -343,6 +345,7 @@
     const {restarts} = this;
     while (
       restarts === this.restarts &&
+      !this.faults.isTerminated &&
       this.unacknowledgedEnds.length === 0 &&
       this.clock.nowMs() < deadlineMs
     )
