Fencing tokens stay below those of the next epoch, and rise faster than workers fall silent

Found by the review: a token that was rejected often enough passed those of the next epoch, so that calls for a deposed leader would have counted as newer; and an agent restarted within a second of two silences began with a lower token than its predecessor's last.

--- a/src/agent/fencing_tokens.ts
+++ b/src/agent/fencing_tokens.ts
@@ -6,9 +6,10 @@
  */
 import {type Clock} from '../core/clock.js';
 
-/** Number of generations that an epoch leaves room for. */
-const GENERATIONS = 2 ** 32;
-const MS_PER_GENERATION = 1000;
+/** Number of generations within an epoch. */
+const GENERATIONS = 2 ** 35; // 2^18 epochs below the largest safe integer
+/** Resolution of the wall clock from which generations start, in ms. */
+const GENERATION_MS = 100; // a worker falls silent at most that often
 
 export class FencingTokens {
   /** Starts at the wall clock, so that it exceeds those of earlier processes. */
@@ -31,11 +32,12 @@
 
   /** Records that the worker has seen a higher token, as of a process with a later clock. */
   recordRejected(): void {
-    this.generation += this.rejectedStep;
+    const raised = this.generation + this.rejectedStep;
+    this.generation = Math.min(raised, GENERATIONS - 1);
     this.rejectedStep *= 2;
   }
 
   private get clockGeneration(): number {
-    return Math.floor(this.clock.wallMs() / MS_PER_GENERATION);
+    return Math.floor(this.clock.wallMs() / GENERATION_MS);
   }
 }
