An agent takes no orders before it knows the runs on its worker

Found by the review: a restarted agent refused the first order of a run, which came from a deposed leader, as never started, although its earlier process had started it.

--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -184,6 +184,8 @@
   async start(order: StartOrder): Promise<void> {
     const {task, run} = order;
     const {clock} = this.ctx;
+    // An earlier process may have started it; the leader repeats the order.
+    if (!this.hasRunLists) return;
     if (!this.table.addStarting(task, run, clock.nowMs())) return;
     const retryUntilMs = clock.nowMs() + START_RETRY_TIMEOUT_MS;
     let unansweredAttempts = 0;
