A run beyond the listed ends does not count as gone

Found by the review: a worker lists at most 500 ends. A run whose end came after those was missing from both lists, so it was refused as gone, and a task that was done would have run again.

--- a/src/agent/run_table.ts
+++ b/src/agent/run_table.ts
@@ -36,6 +36,8 @@
 export interface WorkerRunLists {
   readonly running: readonly RunningTask[];
   readonly ended: readonly EndedRun[];
+  /** Whether further ends are not listed, so that a missing run may have ended. */
+  readonly hasMoreEnds: boolean;
 }
 
 /** When a call to the worker was made and answered, in ms of the monotonic clock. */
@@ -136,7 +138,8 @@
       if (this.findEnd(run.task, run.run)) continue;
       hasNew = this.applyRunning(key, run, receivedAtMs) || hasNew;
     }
-    const hasRemoved = this.removeUnlisted(listed, requestedAtMs);
+    const hasRemoved =
+      !lists.hasMoreEnds && this.removeUnlisted(listed, requestedAtMs);
     this.newestRequestMs = Math.max(this.newestRequestMs, requestedAtMs);
     return hasEnds || hasNew || hasRemoved;
   }
--- a/src/ports/task_worker.ts
+++ b/src/ports/task_worker.ts
@@ -89,6 +89,8 @@
       readonly bornMs: number;
       readonly running: readonly RunningTask[];
       readonly ended: readonly EndedRun[];
+      /** Whether the worker holds further ends that the list does not contain. */
+      readonly hasMoreEnds: boolean;
     }
   | {readonly type: 'fenced'}
   | {readonly type: 'otherIncarnation'}
--- a/standins/task_worker.ts
+++ b/standins/task_worker.ts
@@ -240,6 +240,7 @@
         percent: 0,
       })),
       ended: [...this.unacknowledgedEnds],
+      hasMoreEnds: false,
     };
   }
 
--- a/tests/steps/run_list_steps.ts
+++ b/tests/steps/run_list_steps.ts
@@ -35,7 +35,7 @@
   'a list requested at {int} ms that arrives at {int} ms and shows the run',
   (requestedAtMs: number, receivedAtMs: number) =>
     void table.applyLists(
-      {running: [SHOWN_RUN], ended: []},
+      {running: [SHOWN_RUN], ended: [], hasMoreEnds: false},
       {requestedAtMs, receivedAtMs},
     ),
 );
@@ -44,7 +44,7 @@
   'a list requested at {int} ms that lacks the run arrives at {int} ms',
   (requestedAtMs: number, receivedAtMs: number) =>
     void table.applyLists(
-      {running: [], ended: []},
+      {running: [], ended: [], hasMoreEnds: false},
       {requestedAtMs, receivedAtMs},
     ),
 );
--- a/tests/steps/run_log_steps.ts
+++ b/tests/steps/run_log_steps.ts
@@ -108,7 +108,7 @@
     table.addStarting(TASK, 1, orderedAtMs);
     const running = [{task: TASK, run: 1, checkpoint: '', percent: 0}];
     const call = {requestedAtMs: listedAtMs, receivedAtMs: listedAtMs};
-    table.applyLists({running, ended: []}, call);
+    table.applyLists({running, ended: [], hasMoreEnds: false}, call);
   },
 );
 
@@ -116,7 +116,7 @@
   'a list without the run arrives that was requested at {int} ms',
   (requestedAtMs: number) => {
     table.applyLists(
-      {running: [], ended: []},
+      {running: [], ended: [], hasMoreEnds: false},
       {requestedAtMs, receivedAtMs: requestedAtMs},
     );
     conclusions = table.takeConclusions();
