--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -25,7 +25,12 @@
 import {GateDirectory} from './gate_directory.js';
 import {GateLinks} from './gate_links.js';
 import {LeaderSearch} from './leader_search.js';
-import {LeaderContact, LeaseRenewer, type LeaseTimes} from './lease_renewer.js';
+import {
+  LeaderContact,
+  LeaseRenewer,
+  type LeaseTimes,
+  silenceTimeoutMs,
+} from './lease_renewer.js';
 import {ReportSchedule} from './report_schedule.js';
 import {RunProof} from './run_conclusion.js';
 import {WorkerDriver} from './worker_driver.js';
@@ -78,6 +83,8 @@
   private departedWorker: string | undefined;
   /** Key of the incarnation whose late heartbeat was logged last. */
   private otherHeartbeatLogged: string | undefined;
+  /** When a worker was last reachable; first the start of the process. */
+  private reachableAtMs: number;
   private epoch = 0;
   /** Link address of the gate that answered as leader; undefined if there is none. */
   private leaderAddress: string | undefined;
@@ -98,6 +105,7 @@
       log: this.log,
     });
     this.tokens = new FencingTokens(clock);
+    this.reachableAtMs = clock.nowMs();
     this.directory = new GateDirectory(
       options.name,
       options.seedGates,
@@ -301,6 +309,7 @@
     this.loopDelay.recordTick();
     this.links.update();
     const nowMs = this.ctx.clock.nowMs();
+    if (this.driver?.isReachable) this.reachableAtMs = nowMs;
     const {openAddresses} = this.links;
     for (const address of openAddresses) this.sendIfDue(address, nowMs);
     this.leaderSearch.tick(openAddresses.length > 0);
@@ -365,9 +374,19 @@
       inventory,
       refusals: this.driver?.takeRefusals() ?? [],
       lost: this.lost,
+      hasNoRuns: this.hasNoRuns(sendTime.nowMs),
     });
   }
 
+  /**
+   * Whether all leases have expired on whichever incarnation there was, also those that an
+   * earlier process of this agent requested.
+   */
+  private hasNoRuns(nowMs: number): boolean {
+    const silentMs = nowMs - this.reachableAtMs;
+    return silentMs > silenceTimeoutMs(this.options.lease);
+  }
+
   private onMessage(address: string, message: GateJobMessage): void {
     if (message.type === 'orders') return this.onOrders(address, message);
     const sentAt = this.reportSendTimes.get(message.sentAtMs);
--- a/src/agent/lease_renewer.ts
+++ b/src/agent/lease_renewer.ts
@@ -35,6 +35,11 @@
   );
 }
 
+/** Time after a worker's last answer at which every lease on it has expired, in ms. */
+export function silenceTimeoutMs({leaseMs}: LeaseTimes): number {
+  return leaseMs * (1 + CLOCK_ERROR_RATIO) + EXPIRY_MARGIN_MS;
+}
+
 /** The agent's latest contact with the leader. */
 export class LeaderContact {
   private lastAt: ClockReading | undefined;
--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -340,7 +340,7 @@
 
   private applyReport(engine: JobEngine, report: AgentReport): void {
     const nowMs = this.ctx.clock.nowMs();
-    const {inventory, agent, refusals, lost} = report;
+    const {inventory, agent, refusals, lost, hasNoRuns} = report;
     for (const refusal of refusals) engine.recordRefusal(refusal, nowMs);
     if (lost)
       engine.markWorkerLost(
@@ -349,6 +349,7 @@
         nowMs,
         LossProof.AGENT_REPORT,
       );
+    if (hasNoRuns) engine.markAllWorkersLost(agent, nowMs);
     if (inventory) engine.recordInventory(agent, inventory, nowMs);
     else engine.recordUnreachable(agent, nowMs);
     this.leaderRole.scheduleFlush();
--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -346,6 +346,17 @@
     this.knownWorkers.remove(key);
   }
 
+  /** Ends all runs of an agent whose worker has been silent for longer than its leases. */
+  markAllWorkersLost(agent: string, nowMs: number): void {
+    for (const key of [...this.knownWorkers.ofAgent(agent)])
+      this.markWorkerLost(
+        key,
+        'no incarnation of it answered for longer than leases last',
+        nowMs,
+        LossProof.AGENT_REPORT,
+      );
+  }
+
   /** Opens due occurrences, drops unresponsive workers and moves stalled runs. */
   tick(nowMs: number, wallMs: number): void {
     for (const job of this.jobs.values()) {
--- a/src/protocol/job_messages.ts
+++ b/src/protocol/job_messages.ts
@@ -100,6 +100,8 @@
   readonly refusals: readonly StartRefusal[];
   /** The most recently lost worker, reported until a worker can be reached. */
   readonly lost?: LostWorker;
+  /** No incarnation of the worker has answered for longer than its leases last. */
+  readonly hasNoRuns?: boolean;
 }
 
 /** Heartbeat of an agent on the link to a gate that does not lead. */
@@ -125,6 +127,7 @@
       inventory: inventorySchema.optional(),
       refusals: z.array(refusalSchema),
       lost: z.object({worker: boundedText, reason: boundedText}).optional(),
+      hasNoRuns: z.boolean().optional(),
     }),
     z.object({
       type: z.literal('probe'),
--- a/standins/task_worker.ts
+++ b/standins/task_worker.ts
@@ -191,6 +191,7 @@
     fencingToken: number,
     timeoutMs: number,
   ): Promise<StopReply> {
+    if (this.faults.isTerminated) return 'unanswered';
     if (this.faults.isUnresponsive) {
       await this.waitForTimeout(timeoutMs);
       return 'unanswered';
