A task that crashes each worker that starts it is given up

Cause: a worker that crashes lists no end of its runs, so the leader ends them as lost and places them again without a limit. Only ends that are `failed` count as attempts. The leader can't tell a crash from a worker that left, was cut off or lost power; its agent can, and didn't say so.

Ruled out: a count that is lost with the leader (no field of the record changed over 12 runs, and there was no takeover), and a worker that is blamed in place of the task (the task went back to the machine that had just crashed).

Now the agent names the incarnation that crashed in each report: connections to a worker that was not draining broke, nothing lapsed, and another incarnation took its place. It is a field of the report, not of the inventory, since the loss is often reported before the later incarnation has an inventory. The leader counts the crash in the run record while it ends the runs, so each crash counts once and for all leaders. Rows without the count decode as before.

Healthy tasks that share workers with such a task must not be given up: suspects of different jobs run apart, and alone from the second crash on; a task is given up after three crashes of which one hit no other job, or after four; a run that ends by itself, or lives clearly longer than the one that crashed, clears its task; when three workers crash within 0.5 s, only runs younger than 1 s count.

Tests: the three scenarios with gates, agents and a task that crashes its workers failed before: "expected that job ... is failed, waited 25000 ms". The others test the new modules. With single decisions of the modules switched off, one to five scenarios fail each (separation, common cause, probation, stored count, clearing, orders after the crash, end of the wait, held workers, isolation, jobs that have ended). Not caught is the removal of `recordReplacement` from `startDriver`: the other incarnation's answer reports the crash as well.

--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -69,6 +69,8 @@
    * reachable again, because a leader may terminate before it records the loss.
    */
   private lost: LostWorker | undefined;
+  /** The crash that ended the predecessor of the worker, if one did. */
+  private crash: {readonly worker: string; readonly atMs: number} | undefined;
   /** Key of the worker that terminated last; late heartbeats of it are ignored. */
   private departedWorker: string | undefined;
   private epoch = 0;
@@ -163,6 +165,7 @@
   }
 
   private startDriver(report: WorkerReport): void {
+    if (this.driver) this.recordReplacement(this.driver);
     this.driver?.close();
     this.lease.resetClock();
     const {worker, clock, logs, metrics} = this.ctx;
@@ -186,11 +189,24 @@
   private onOtherIncarnation(driver: WorkerDriver): void {
     if (this.driver !== driver) return;
     this.log.logEvent('workerReplaced', {worker: driver.key});
+    this.recordReplacement(driver);
     this.discardDriver(driver, 'another incarnation answered');
   }
 
+  /** Keeps how the incarnation ended whose place another one has taken. */
+  private recordReplacement({key, crashedAtMs}: WorkerDriver): void {
+    this.crash = undefined;
+    if (crashedAtMs === undefined) return;
+    this.crash = {worker: key, atMs: crashedAtMs};
+    this.log.logEvent('workerCrashed', {
+      worker: key,
+      ms: Math.round(this.ctx.clock.nowMs() - crashedAtMs),
+    });
+  }
+
   private recordDeparture(driver: WorkerDriver, reason: string): void {
     if (this.driver !== driver) return;
+    this.crash = undefined;
     this.log.logEvent('workerLeft', {worker: driver.key, reason});
     this.departedWorker = driver.key;
     this.discardDriver(driver, reason);
@@ -292,6 +308,10 @@
       inventory,
       refusals: this.driver?.takeRefusals() ?? [],
       lost: this.lost,
+      crash: this.crash && {
+        worker: this.crash.worker,
+        sinceMs: Math.max(0, sendTime.nowMs - this.crash.atMs),
+      },
     });
   }
 
--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -18,6 +18,7 @@
   type StartReply,
   type TaskWorker,
 } from '../ports/task_worker.js';
+import {CrashDetector} from './crash_detector.js';
 import {DepartureDetector} from './departure_detector.js';
 import {type LeaseRenewer} from './lease_renewer.js';
 import {RunTable} from './run_table.js';
@@ -55,6 +56,7 @@
   readonly key: string;
   private readonly table: RunTable;
   private readonly departure = new DepartureDetector();
+  private readonly crash = new CrashDetector();
   private report: WorkerReport;
   private lastAnswerAtMs: number;
   private isClosed = false;
@@ -103,6 +105,15 @@
     return this.hasRunLists && sinceAnswerMs < UNREACHABLE_AFTER_MS;
   }
 
+  /**
+   * When the worker crashed, in ms of the monotonic clock; undefined if it is not known to
+   * have crashed under its runs. To be asked once another incarnation has taken its place.
+   */
+  get crashedAtMs(): number | undefined {
+    if (this.report.draining || this.isExpiryReported) return undefined;
+    return this.crash.crashedAtMs;
+  }
+
   /** State of the worker and its runs; undefined before the worker's first lists. */
   inventory(): WorkerInventory | undefined {
     if (!this.hasRunLists) return undefined;
@@ -255,6 +266,7 @@
   private async renew(waitMs: number): Promise<boolean> {
     const {worker, clock, lease} = this.ctx;
     const requestedAtMs = clock.nowMs();
+    const timeoutMs = waitMs + CALL_TIMEOUT_MS;
     const reply = await worker.renew(
       this.id,
       {
@@ -265,8 +277,11 @@
           : undefined,
         waitMs,
       },
-      waitMs + CALL_TIMEOUT_MS,
+      timeoutMs,
     );
+    const answeredAtMs = clock.nowMs();
+    if (reply.type !== 'listed' || reply.bornMs === this.bornMs)
+      this.crash.recordRenewal(reply, {requestedAtMs, answeredAtMs, timeoutMs});
     this.recordRenewal(reply);
     return !this.isClosed && this.applyReply(reply, requestedAtMs);
   }
--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -334,8 +334,10 @@
 
   private applyReport(engine: JobEngine, report: AgentReport): void {
     const nowMs = this.ctx.clock.nowMs();
-    const {inventory, agent, refusals, lost} = report;
+    const {inventory, agent, refusals, lost, crash} = report;
     for (const refusal of refusals) engine.recordRefusal(refusal, nowMs);
+    // Recorded first, since what follows ends the runs on the worker without blame.
+    if (crash) engine.recordCrash(crash, nowMs);
     if (lost) engine.markWorkerLost(lost.worker, lost.reason, nowMs);
     if (inventory) engine.recordInventory(agent, inventory, nowMs);
     else engine.recordUnreachable(agent, nowMs);
--- a/src/jobs/engine_messages.ts
+++ b/src/jobs/engine_messages.ts
@@ -50,6 +50,14 @@
   readonly checkpoint: string;
 }
 
+/** A crash of a worker that its agent lived through. */
+export interface WorkerCrash {
+  /** Key of the incarnation that crashed; another one has taken its place. */
+  readonly worker: string;
+  /** Time since the crash, in ms. */
+  readonly sinceMs: number;
+}
+
 /** Full state of a worker as its agent reports it. */
 export interface WorkerInventory {
   readonly worker: WorkerReport;
--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -10,11 +10,18 @@
 import {
   type AddressedOrder,
   type EndReport,
+  type WorkerCrash,
   type WorkerInventory,
   type Order,
   type StartRefusal,
   type RunStatus,
 } from './engine_messages.js';
+import {
+  CrashSuspects,
+  NO_CRASHES,
+  isCleared,
+  isGivenUp,
+} from './crash_suspects.js';
 import {type JobIndex, type JobEntry} from './job_index.js';
 import {type JobSpec, type JobTables, type Queue} from './job.js';
 import {
@@ -25,6 +32,7 @@
   type TrackedTask,
   type Unit,
   ranMs,
+  runsAtCrash,
 } from './tracked_job.js';
 import {
   EMPTY_PASS,
@@ -120,6 +128,7 @@
   private readonly lastContactMs = new Map<string, number>();
   private readonly planner = new Planner();
   private readonly failureTracker = new FailureTracker();
+  private readonly crashSuspects = new CrashSuspects<TrackedTask>();
   private readonly runTimes = new RunTimeEstimates();
   private readonly capacities = new ServiceCapacities();
   private readonly departedWorkers = new Set<string>();
@@ -239,6 +248,7 @@
       }
       if (status.checkpoint && status.checkpoint !== task.checkpoint)
         this.recordCheckpoint(task, status.checkpoint);
+      if (isCleared(task, ranMs(task, nowMs))) this.clearCrashes(task);
     }
   }
 
@@ -305,6 +315,61 @@
     this.knownWorkers.remove(key);
   }
 
+  /**
+   * Ends the runs of a worker that crashed, and gives up the tasks under which too many
+   * workers have. Agents report this repeatedly, but its runs end only once.
+   */
+  recordCrash({worker, sinceMs}: WorkerCrash, nowMs: number): void {
+    const atMs = nowMs - sinceMs;
+    const runs = runsAtCrash(this.placedByWorker.get(worker) ?? [], atMs);
+    if (runs.length > 0) {
+      const {blamed, relieved} = this.crashSuspects.recordCrash({atMs, runs});
+      for (const task of blamed) this.recordBlame(task, worker);
+      for (const task of relieved) this.recordRelief(task);
+    }
+    this.markWorkerLost(worker, 'it crashed and was replaced', nowMs);
+    for (const {task} of runs) this.giveUpIfDecided(task, nowMs);
+  }
+
+  private recordBlame(task: TrackedTask, worker: string): void {
+    const {total, alone} = task.crashes;
+    this.markDirty(task);
+    task.unit?.crashedAgents.add(agentOf(worker));
+    this.log({
+      event: 'crashCounted',
+      task: task.name,
+      run: task.run,
+      worker,
+      reason: `${total} crashes, ${alone} of them without other jobs`,
+    });
+  }
+
+  private recordRelief(task: TrackedTask): void {
+    this.markDirty(task);
+    this.log({
+      event: 'crashNotCounted',
+      task: task.name,
+      reason: 'other workers crashed at the same moment',
+    });
+  }
+
+  private giveUpIfDecided(task: TrackedTask, nowMs: number): void {
+    const {job} = task.step.occurrence;
+    if (job.isEnded || !isGivenUp(task.crashes)) return;
+    const cause = `${task.crashes.total} workers crashed under ${task.name}`;
+    this.log({event: 'taskGivenUp', task: task.name, reason: cause});
+    this.finishJob(job, JobResult.FAILED, nowMs, cause);
+  }
+
+  /** Ends the suspicion that a task crashes its workers. */
+  private clearCrashes(task: TrackedTask): void {
+    if (task.crashes.total === 0) return;
+    this.log({event: 'crashesCleared', task: task.name, run: task.run});
+    task.crashes = NO_CRASHES;
+    task.crashedAfterMs = 0;
+    this.markDirty(task);
+  }
+
   /** Opens due occurrences, drops unresponsive workers and moves stalled runs. */
   tick(nowMs: number, wallMs: number): void {
     for (const job of this.jobs.values()) {
@@ -428,7 +493,7 @@
    */
   private finishJobIfDecided(job: TrackedJob, nowMs: number): void {
     const {maxAttempts} = job.currentQueue(this.tables.queues);
-    if (job.tasks.some(t => t.failures >= maxAttempts))
+    if (job.tasks.some(t => t.failures >= maxAttempts || isGivenUp(t.crashes)))
       this.finishJob(job, JobResult.FAILED, nowMs);
     else if (job.isDone) this.finishJob(job, JobResult.COMPLETED, nowMs);
   }
@@ -703,6 +768,7 @@
       );
     this.failureTracker.recordSuccess(agentOf(task.worker));
     for (const member of unit.isGang ? unit.tasks : [task]) {
+      this.clearCrashes(member);
       this.placedByWorker.get(member.worker)?.delete(member);
       member.clearPlacement();
       member.state = TaskState.DONE;
@@ -721,6 +787,7 @@
     nowMs: number,
   ): void {
     const unit = task.unit!;
+    this.clearCrashes(task);
     if (unit.lastFailedRun !== run) {
       unit.lastFailedRun = run;
       this.attributeFailure(unit, agentOf(task.worker), nowMs);
@@ -762,7 +829,12 @@
     unit.notBeforeMs = Math.max(unit.notBeforeMs, nowMs);
   }
 
-  private finishJob(job: TrackedJob, result: JobResult, nowMs: number): void {
+  private finishJob(
+    job: TrackedJob,
+    result: JobResult,
+    nowMs: number,
+    cause?: string,
+  ): void {
     this.dirtyRows.set(rowKeys.jobResult(job.spec.id), () =>
       encodeJobResult(result),
     );
@@ -770,7 +842,7 @@
     this.log({
       event: 'jobEnded',
       job: job.spec.id,
-      reason: result,
+      reason: cause ? `${result}: ${cause}` : result,
       ms: Math.round(nowMs - job.acceptedAtMs),
     });
   }
--- a/src/jobs/job_rows.ts
+++ b/src/jobs/job_rows.ts
@@ -3,6 +3,7 @@
 import * as z from 'zod';
 import {ProtocolError} from '../core/errors.js';
 import {pickByRendezvous} from '../core/rendezvous.js';
+import {type CrashCounts, NO_CRASHES} from './crash_suspects.js';
 import {type JobSpec, type Resources} from './job.js';
 
 /** State of a task as stored. */
@@ -24,6 +25,8 @@
   readonly checkpoint: string;
   /** Number of failed runs. */
   readonly failures: number;
+  /** Crashes of workers under the task; none if absent. */
+  readonly crashes?: CrashCounts;
 }
 
 export const UNSTARTED_TASK: TaskRecord = {
@@ -169,6 +172,9 @@
     z.string(),
     z.string(),
     z.number(),
+    // Crashes in all and alone; absent in rows of earlier versions.
+    z.number().optional(),
+    z.number().optional(),
   ]),
 );
 
@@ -212,18 +218,26 @@
 
 export function encodeBlock(tasks: readonly TaskRecord[]): Uint8Array {
   return packr.pack(
-    tasks.map(t => [t.state, t.run, t.worker, t.checkpoint, t.failures]),
+    tasks.map(({state, run, worker, checkpoint, failures, crashes}) => [
+      state,
+      run,
+      worker,
+      checkpoint,
+      failures,
+      ...(crashes && crashes.total > 0 ? [crashes.total, crashes.alone] : []),
+    ]),
   );
 }
 
 export function decodeBlock(value: Uint8Array): TaskRecord[] {
   return decode('run', value, blockSchema).map(
-    ([state, run, worker, checkpoint, failures]) => ({
+    ([state, run, worker, checkpoint, failures, total = 0, alone = 0]) => ({
       state,
       run,
       worker,
       checkpoint,
       failures,
+      crashes: total > 0 ? {total, alone} : NO_CRASHES,
     }),
   );
 }
--- a/src/jobs/planner.ts
+++ b/src/jobs/planner.ts
@@ -3,7 +3,7 @@
  * free capacity for urgent work. It only decides; the engine carries out the decisions.
  */
 import {getOrAdd} from '../core/fair_queue.js';
-import {coreEquivalents} from './job.js';
+import {coreEquivalents, fits} from './job.js';
 import {
   type WaitingWork,
   compareWaiting,
@@ -34,6 +34,11 @@
 import {minConcurrentTasks} from './step_waves.js';
 import {agentOf} from './worker_pool.js';
 import {UNHEALTHY_PENALTY} from './failure_tracker.js';
+import {
+  ISOLATION_WAIT_MS,
+  type PassView,
+  SuspectPlacement,
+} from './suspect_placement.js';
 
 /** Longest wait for the preferred rack, as a fraction of the expected run time. */
 const RACK_WAIT_SHARE = 0.5; // on other racks a task takes three times as long
@@ -106,6 +111,7 @@
 export class Planner {
   /** Workers held for a unit for which capacity is being freed, by worker key. */
   private readonly holds = new Map<string, Hold>();
+  private readonly suspectPlacement = new SuspectPlacement();
 
   plan(input: PlanInput, output: PlanOutput): PassSize {
     const waitingUnits = input.waiting.size;
@@ -135,6 +141,10 @@
       if (workers) {
         output.place(unit, workers);
         pass.recordPlacement(unit, workers);
+        this.suspectPlacement.recordPlacement(unit);
+      } else if (this.suspectPlacement.isIsolated(unit, viewOf(unit, pass))) {
+        this.suspectPlacement.recordWait(unit, pass.input.nowMs);
+        this.holdEmptyingWorker(unit, pass);
       } else if (candidates.length === 0 || !pass.isUrgent(unit)) {
         isFull = true;
       } else {
@@ -155,8 +165,34 @@
         ? all
         : all.filter(c => !this.isHeldForOther(c.worker, unit));
     const isUniform =
-      !unit.step.spec.maxPerWorker && unit.failedAgents.length === 0;
-    return isUniform ? available : available.map(c => forUnit(c, unit));
+      !unit.step.spec.maxPerWorker &&
+      unit.failedAgents.length === 0 &&
+      unit.crashedAgents.size === 0;
+    return this.suspectPlacement.candidatesFor(
+      unit,
+      isUniform ? available : available.map(c => forUnit(c, unit)),
+      viewOf(unit, pass),
+    );
+  }
+
+  /** Holds the worker that is expected to be empty first, for a task that must run alone. */
+  private holdEmptyingWorker(unit: Unit, pass: PlanningPass): void {
+    const isHeld = [...this.holds.values()].some(h => h.unit === unit);
+    if (isHeld || unit.isGang || !unit.mustRunAlone) return;
+    const {pool, nowMs} = pass.input;
+    const {spec} = unit.step;
+    const workers = pass
+      .candidatesOf(pass.serviceOf(unit))
+      .filter(c => hasRequiredLabel(spec, c) && !this.holds.has(c.worker))
+      .filter(c => !pass.suspects.isReserved(c.worker, unit.job))
+      .map(c => c.worker)
+      .filter(w => fits(spec.request, pool.get(w)!.report.capacity))
+      .map(worker => ({worker, emptyAfterMs: pass.emptyAfterMs(worker)}));
+    if (workers.length === 0) return;
+    const {worker} = workers.reduce((best, w) =>
+      w.emptyAfterMs < best.emptyAfterMs ? w : best,
+    );
+    this.holds.set(worker, {unit, untilMs: nowMs + ISOLATION_WAIT_MS});
   }
 
   private isHeldForOther(worker: string, unit: Unit): boolean {
@@ -259,6 +295,13 @@
   }
 }
 
+/** The pass as the placement of a suspect sees it. */
+function viewOf(unit: Unit, pass: PlanningPass): PassView {
+  const {pool, nowMs} = pass.input;
+  const {suspects} = pass;
+  return {suspects, pool, nowMs, isUrgent: pass.isUrgent(unit)};
+}
+
 /** Groups of waiting units, in the order in which they are to be placed. */
 function rankWaiting(pass: PlanningPass): WaitingGroup[] {
   const {input} = pass;
@@ -313,7 +356,9 @@
 /** The candidate as one unit sees it. */
 function forUnit(candidate: CandidateWorker, unit: Unit): CandidateWorker {
   const {worker} = candidate;
-  const hasFailed = unit.failedAgents.includes(agentOf(worker));
+  const agent = agentOf(worker);
+  const hasFailed =
+    unit.failedAgents.includes(agent) || unit.crashedAgents.has(agent);
   return {
     ...candidate,
     stepTasks: unit.step.spec.maxPerWorker
--- a/src/jobs/planning_pass.ts
+++ b/src/jobs/planning_pass.ts
@@ -18,6 +18,7 @@
 import {type CandidateWorker, type SearchEffort} from './placement.js';
 import {type Victim} from './preemption_plan.js';
 import {type RunTimeEstimates} from './run_time_estimates.js';
+import {SuspectRuns} from './suspect_placement.js';
 import {countWaves} from './step_waves.js';
 import {type WorkerPool, type TrackedWorker} from './worker_pool.js';
 import {type FailureTracker} from './failure_tracker.js';
@@ -50,6 +51,7 @@
 
 export class PlanningPass {
   readonly effort: SearchEffort = {workerChecks: 0};
+  readonly suspects: SuspectRuns;
   /** Number of units that were considered for preemption. */
   victimsConsidered = 0;
   private readonly candidates = new Map<string, CandidateWorker[]>();
@@ -59,7 +61,9 @@
   /** Placed runs in the order in which they are expected to end. */
   private endingRuns: EndingRun[] | undefined;
 
-  constructor(readonly input: PlanInput) {}
+  constructor(readonly input: PlanInput) {
+    this.suspects = new SuspectRuns(input.placed);
+  }
 
   /** Workers of a service that accept work, with their present free capacity. */
   candidatesOf(service: string): readonly CandidateWorker[] {
@@ -79,6 +83,7 @@
       if (placedOn.has(candidate.worker))
         candidate.free = this.input.pool.get(candidate.worker)!.free;
     }
+    this.suspects.add(unit);
     this.endingRuns = undefined;
   }
 
@@ -108,6 +113,13 @@
     return [...after.values()];
   }
 
+  /** Expected time until the worker has no runs, in ms. */
+  emptyAfterMs(worker: string): number {
+    this.endingRuns ??= this.findEndingRuns();
+    const runs = this.endingRuns.filter(r => r.worker === worker);
+    return runs.at(-1)?.remainingMs ?? 0;
+  }
+
   serviceOf(unit: Unit): string {
     return unit.job.currentQueue(this.input.tables.queues).service;
   }
--- a/src/jobs/tracked_job.ts
+++ b/src/jobs/tracked_job.ts
@@ -1,4 +1,11 @@
 /** State of a job in the leader: its occurrences, steps, tasks and their records. */
+import {
+  type CrashCounts,
+  type CrashSuspect,
+  type CrashedRun,
+  NO_CRASHES,
+  mustRunAlone,
+} from './crash_suspects.js';
 import {
   type JobSpec,
   type Queue,
@@ -27,12 +34,14 @@
 export type DiscardCause = (typeof DiscardCause)[keyof typeof DiscardCause];
 
 /** One task: its stored record, and the volatile state of its newest run. */
-export class TrackedTask {
+export class TrackedTask implements CrashSuspect {
   state: TaskState;
   run: number;
   worker: string;
   checkpoint: string;
   failures: number;
+  crashes: CrashCounts;
+  crashedAfterMs = 0;
   /** When the newest run was placed, in ms of the monotonic clock. */
   placedAtMs = 0;
   /** When the run was first reported running, in ms of the monotonic clock; 0 before. */
@@ -66,6 +75,7 @@
     this.worker = record.worker;
     this.checkpoint = record.checkpoint;
     this.failures = record.failures;
+    this.crashes = record.crashes ?? NO_CRASHES;
     this.name = formatTaskName({
       job: step.occurrence.job.spec.id,
       occurrence: step.occurrence.number,
@@ -78,14 +88,18 @@
     return this.state === TaskState.PLACED;
   }
 
+  get jobId(): string {
+    return this.step.occurrence.job.spec.id;
+  }
+
   /** The newest run. */
   get ref(): RunRef {
     return {task: this.name, run: this.run};
   }
 
   get record(): TaskRecord {
-    const {state, run, worker, checkpoint, failures} = this;
-    return {state, run, worker, checkpoint, failures};
+    const {state, run, worker, checkpoint, failures, crashes} = this;
+    return {state, run, worker, checkpoint, failures, crashes};
   }
 
   /** Returns the task to the waiting state and keeps its run number. */
@@ -118,6 +132,8 @@
   waitReason = '';
   /** Agents on whose workers a run failed, the most recent last. */
   readonly failedAgents: string[] = [];
+  /** Agents whose workers crashed under one of its runs. */
+  readonly crashedAgents = new Set<string>();
   /** Last run counted as failed; a gang counts one failure per run. */
   lastFailedRun = 0;
 
@@ -148,6 +164,15 @@
     return this.tasks.some(t => t.isPlaced && t.isStopping);
   }
 
+  /** Whether one of its tasks may have crashed its worker. */
+  get isSuspect(): boolean {
+    return this.tasks.some(t => t.crashes.total > 0);
+  }
+
+  get mustRunAlone(): boolean {
+    return this.tasks.some(t => mustRunAlone(t.crashes));
+  }
+
   get nextRun(): number {
     return Math.max(...this.tasks.map(t => t.run)) + 1;
   }
@@ -304,3 +329,17 @@
 export function ranMs(task: TrackedTask, nowMs: number): number {
   return task.runningSinceMs === 0 ? 0 : nowMs - task.runningSinceMs;
 }
+
+/** Runs that may have been at work on their worker when it crashed, with their ages. */
+export function runsAtCrash(
+  placed: Iterable<TrackedTask>,
+  atMs: number,
+): CrashedRun<TrackedTask>[] {
+  const runs: CrashedRun<TrackedTask>[] = [];
+  for (const task of placed) {
+    const wasOrdered = task.isAgeUnknown || task.placedAtMs <= atMs;
+    if (!task.isOrdered || !wasOrdered) continue;
+    runs.push({task, ageMs: Math.max(0, ranMs(task, atMs))});
+  }
+  return runs;
+}
--- a/src/jobs/worker_pool.ts
+++ b/src/jobs/worker_pool.ts
@@ -82,6 +82,11 @@
     this.free = addResources(this.free, allocation.request);
   }
 
+  /** Whether no run has resources of the worker. */
+  get isEmpty(): boolean {
+    return this.allocations.size === 0;
+  }
+
   acceptsWork(nowMs: number): boolean {
     return !this.report.draining && nowMs >= this.blockedUntilMs;
   }
--- a/src/protocol/job_messages.ts
+++ b/src/protocol/job_messages.ts
@@ -1,6 +1,7 @@
 /** Messages about jobs between gates and agents. All durations are in milliseconds. */
 import * as z from 'zod';
 import {
+  type WorkerCrash,
   type WorkerInventory,
   type Order,
   type StartRefusal,
@@ -99,6 +100,8 @@
   readonly refusals: readonly StartRefusal[];
   /** The most recently lost worker, reported until a worker can be reached. */
   readonly lost?: LostWorker;
+  /** The crash that ended the predecessor of the worker, reported throughout its life. */
+  readonly crash?: WorkerCrash;
 }
 
 /** Heartbeat of an agent on the link to a gate that does not lead. */
@@ -124,6 +127,9 @@
       inventory: inventorySchema.optional(),
       refusals: z.array(refusalSchema),
       lost: z.object({worker: boundedText, reason: boundedText}).optional(),
+      crash: z
+        .object({worker: boundedText, sinceMs: z.number().min(0)})
+        .optional(),
     }),
     z.object({
       type: z.literal('probe'),
--- a/standins/task_worker.ts
+++ b/standins/task_worker.ts
@@ -72,6 +72,8 @@
   lostResponses: number;
   /** Every run fails immediately after its start. */
   failsAllRuns: boolean;
+  /** Tasks that crash the worker as soon as they start. */
+  crashingTasks: ReadonlySet<string>;
 }
 
 export class StandInTaskWorker extends TaskWorker {
@@ -82,9 +84,13 @@
     startDelayMs: 0,
     lostResponses: 0,
     failsAllRuns: false,
+    crashingTasks: new Set(),
   };
   /** Number of starts that were carried out. */
   startCount = 0;
+  /** Whether the worker has crashed and not restarted yet. */
+  isDown = false;
+  private crashCount = 0;
   private runs = new Map<string, Run>();
   private unacknowledgedEnds: EndedRun[] = [];
   private highestRunByTask = new Map<string, number>();
@@ -116,6 +122,13 @@
     this.bornMs++;
   }
 
+  /** Simulates a crash; the worker restarts under a new id after a while. */
+  crash(): void {
+    this.restart(`${this.id.split('#')[0]}#${++this.crashCount}`);
+    this.isDown = true;
+    setTimeout(() => (this.isDown = false), CRASH_DOWN_MS);
+  }
+
   /** Ends all runs without listing their ends; later calls are refused. */
   terminate(): void {
     this.faults.isTerminated = true;
@@ -132,7 +145,7 @@
     req: StartRequest,
     timeoutMs: number,
   ): Promise<StartReply> {
-    if (this.faults.isTerminated) return {type: 'unreachable'};
+    if (this.faults.isTerminated || this.isDown) return {type: 'unreachable'};
     if (this.faults.isUnresponsive) return this.waitForTimeout(timeoutMs);
     if (this.faults.delayedStarts > 0) {
       this.faults.delayedStarts--;
@@ -155,6 +168,7 @@
       await this.waitForTimeout(timeoutMs);
       return 'unanswered';
     }
+    if (this.isDown) return 'unanswered';
     if (workerId !== this.id) return 'otherIncarnation';
     if (fencingToken < this.highestFencingToken) return 'fenced';
     this.highestFencingToken = fencingToken;
@@ -170,7 +184,7 @@
     timeoutMs: number,
   ): Promise<RenewReply> {
     await new Promise(resolve => setImmediate(resolve));
-    if (this.faults.isTerminated) return {type: 'refused'};
+    if (this.faults.isTerminated || this.isDown) return {type: 'refused'};
     if (this.faults.isUnresponsive) {
       await this.waitForTimeout(timeoutMs);
       return {type: 'unanswered'};
@@ -190,6 +204,8 @@
     );
     if (req.waitMs > 0 && this.unacknowledgedEnds.length === 0)
       await this.waitForEnd(req);
+    // A crash breaks the connections of calls in progress.
+    if (workerId !== this.id) return {type: 'unanswered'};
     return {
       type: 'listed',
       clockMs: Math.floor(this.clock.nowMs()),
@@ -239,9 +255,15 @@
     this.startCount++;
     this.monitor.recordStart(req.task);
     if (this.faults.failsAllRuns) this.end(run, RunEndKind.FAILED);
+    if (this.faults.crashingTasks.has(req.task))
+      setTimeout(() => this.crashUnder(run), TICK_INTERVAL_MS);
     return {type: 'started', clockMs};
   }
 
+  private crashUnder(run: Run): void {
+    if (this.runs.get(run.task) === run) this.crash();
+  }
+
   private endDueRuns(): void {
     const nowMs = this.clock.nowMs();
     for (const run of [...this.runs.values()]) {
@@ -270,7 +292,9 @@
 
   private async waitForEnd(req: RenewRequest): Promise<void> {
     const deadlineMs = this.clock.nowMs() + req.waitMs;
+    const {id} = this;
     while (
+      this.id === id &&
       this.unacknowledgedEnds.length === 0 &&
       this.clock.nowMs() < deadlineMs
     )
@@ -285,3 +309,5 @@
 
 /** Interval of the checks for due runs and expired leases, in ms. */
 const TICK_INTERVAL_MS = 10;
+/** Time from a crash to the restart, in ms. */
+const CRASH_DOWN_MS = 300;
--- a/tests/features/job_recovery.feature
+++ b/tests/features/job_recovery.feature
@@ -263,6 +263,7 @@
       | task                         | result    |
       | is done                      | completed |
       | has used all of its attempts | failed    |
+      | has crashed 3 workers        | failed    |
 
   Scenario: A draining worker gets no new tasks and finishes its running tasks
     Given 2 gates and 2 agents whose tasks run 900 ms
--- a/tests/steps/job_steps.ts
+++ b/tests/steps/job_steps.ts
@@ -67,7 +67,7 @@
 let killedAtMs = 0;
 let startCountsAtKill = new Map<string, number>();
 
-function runningCluster(): JobCluster {
+export function runningCluster(): JobCluster {
   assert.ok(cluster, 'expected the scenario to start its gates first');
   return cluster;
 }
@@ -108,7 +108,7 @@
   },
 );
 
-async function submitJob(job: JobSpec, at?: GateHandle): Promise<void> {
+export async function submitJob(job: JobSpec, at?: GateHandle): Promise<void> {
   const gate = (at ?? runningCluster().gates[0]).gate;
   await runningCluster().until(`job ${job.id} is accepted`, async () => {
     const result = await gate.jobService.submit(job, SUBMIT_TIMEOUT_MS);
@@ -666,16 +666,18 @@
 let removes: readonly string[] = [];
 
 Given(
-  /^the stored rows show that the only task of a job (is done|has used all of its attempts), but not the job result$/,
+  /^the stored rows show that the only task of a job (is done|has used all of its attempts|has crashed 3 workers), but not the job result$/,
   (taskState: string) => {
     const job = makeStoredJob([makeStep()]);
     const isDone = taskState === 'is done';
+    const hasFailed = taskState === 'has used all of its attempts';
     const task: TaskRecord = {
       state: isDone ? TaskState.DONE : TaskState.WAITING,
       run: TEST_QUEUE.maxAttempts,
       worker: '',
       checkpoint: '',
-      failures: isDone ? 0 : TEST_QUEUE.maxAttempts,
+      failures: hasFailed ? TEST_QUEUE.maxAttempts : 0,
+      crashes: {total: isDone || hasFailed ? 0 : 3, alone: 1},
     };
     storedJob = {jobIndex: indexOf(job, task), job};
   },
