--- a/tests/features/worker_crashes.feature
+++ b/tests/features/worker_crashes.feature
@@ -31,6 +31,15 @@
     And the later step was not begun
     And no invariant of runs is violated
 
+  # Guards against gangs that are retried without a limit as one member crashes its worker.
+  Scenario: A gang of which one member crashes each worker is given up
+    Given 2 gates and 4 agents whose tasks run 20000 ms
+    When a gang of 3 tasks for whole workers is submitted whose first task crashes each worker
+    Then that job is reported as failed
+    And that task was started 3 times
+    And no task is running in the end
+    And no invariant of runs is violated
+
   # Guards against a worker of which no agent knows how it ended, and blame for its tasks.
   Scenario: Workers that restart together with their agents blame nobody
     Given 2 gates and 1 agents whose tasks run 1500 ms
--- a/tests/steps/crash_steps.ts
+++ b/tests/steps/crash_steps.ts
@@ -10,7 +10,11 @@
   NO_CRASHES,
   isGivenUp,
 } from '../../src/jobs/crash_suspects.js';
-import {type JobSpec, formatTaskName} from '../../src/jobs/job.js';
+import {
+  type JobSpec,
+  type StepSpec,
+  formatTaskName,
+} from '../../src/jobs/job.js';
 import {
   type TaskRecord,
   TaskState,
@@ -34,10 +38,14 @@
   return runningCluster().runMonitor.startCountOf(task);
 }
 
-async function submitCrashingJob(tasks: number, steps: number): Promise<void> {
+/** Submits a job of which the first task crashes each worker that starts it. */
+async function submitCrashingJob(
+  first: Partial<StepSpec>,
+  steps: number,
+): Promise<void> {
   crashingJob = runningCluster().makeJob(
     Array.from({length: steps}, (unused, i) =>
-      makeStep(i === 0 ? {count: tasks} : {after: [i - 1]}),
+      makeStep(i === 0 ? first : {after: [i - 1]}),
     ),
   );
   const crashingTasks = new Set([taskOf(crashingJob, 0, 0)]);
@@ -49,13 +57,22 @@
 When(
   'a job of 1 task is submitted that crashes each worker that starts it',
   {timeout: STEP_TIMEOUT_MS},
-  () => submitCrashingJob(1, 1),
+  () => submitCrashingJob({count: 1}, 1),
 );
 
 When(
   'a job of {int} tasks and a later step is submitted whose first task crashes each worker',
   {timeout: STEP_TIMEOUT_MS},
-  (tasks: number) => submitCrashingJob(tasks, 2),
+  (count: number) => submitCrashingJob({count}, 2),
+);
+
+When(
+  'a gang of {int} tasks for whole workers is submitted whose first task crashes each worker',
+  {timeout: STEP_TIMEOUT_MS},
+  (count: number) => {
+    const request = {cpu: 1000, memoryMb: 1000, accelerators: 8};
+    return submitCrashingJob({count, gang: true, request}, 1);
+  },
 );
 
 Then(
