--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -8,6 +8,7 @@
   leaderAddressOf,
   rowKeys,
 } from '../jobs/job_rows.js';
+import {type WorkerCrash} from '../jobs/engine_messages.js';
 import {type WorkerReport, workerKey} from '../jobs/worker_pool.js';
 import {type ComponentLog, type EventLog} from '../plugins/event_log.js';
 import {LoopDelayMonitor} from '../plugins/loop_delay_monitor.js';
@@ -42,6 +43,13 @@
 const TICK_INTERVAL_MS = 100;
 const DEPARTURE_WRITE_TIMEOUT_MS = 3000;
 
+/** A crash of the worker's earlier incarnation, which its agent lived through. */
+interface PredecessorCrash {
+  readonly worker: string;
+  readonly atMs: number;
+  readonly hasSameId: boolean;
+}
+
 export interface JobAgentOptions {
   readonly name: string;
   readonly seedGates: readonly string[];
@@ -79,6 +87,8 @@
   private lost: LostWorker | undefined;
   /** Newest heartbeat of an incarnation other than the driver's. */
   private otherIncarnation: WorkerReport | undefined;
+  /** The crash that ended the predecessor of the worker, if one did. */
+  private crash: PredecessorCrash | undefined;
   /** Key of the worker that terminated last; late heartbeats of it are ignored. */
   private departedWorker: string | undefined;
   /** Key of the incarnation whose late heartbeat was logged last. */
@@ -240,6 +250,7 @@
   private onOtherIncarnation(driver: WorkerDriver, hasSameId: boolean): void {
     if (this.driver !== driver) return;
     this.log.logEvent('workerReplaced', {worker: driver.key, hasSameId});
+    this.recordReplacement(driver, hasSameId);
     if (hasSameId) {
       driver.close();
       this.driver = undefined;
@@ -269,8 +280,36 @@
     });
   }
 
+  /** Keeps how the incarnation ended whose place another one has taken. */
+  private recordReplacement(
+    {key, crashedAtMs}: WorkerDriver,
+    hasSameId: boolean,
+  ): void {
+    this.crash = undefined;
+    if (crashedAtMs === undefined) return;
+    this.crash = {worker: key, atMs: crashedAtMs, hasSameId};
+    this.log.logEvent('workerCrashed', {
+      worker: key,
+      ms: Math.round(this.ctx.clock.nowMs() - crashedAtMs),
+    });
+  }
+
+  /**
+   * The crash that ended the worker's predecessor. A later incarnation with the same id may
+   * have runs of the earlier one, so its first inventory has to come with it.
+   */
+  private crashToReport(
+    nowMs: number,
+    hasInventory: boolean,
+  ): WorkerCrash | undefined {
+    const {crash} = this;
+    if (!crash || (crash.hasSameId && !hasInventory)) return undefined;
+    return {worker: crash.worker, sinceMs: Math.max(0, nowMs - crash.atMs)};
+  }
+
   private recordDeparture(driver: WorkerDriver, reason: string): void {
     if (this.driver !== driver) return;
+    this.crash = undefined;
     this.log.logEvent('workerLeft', {worker: driver.key, reason});
     this.departedWorker = driver.key;
     this.discardDriver(driver, reason);
@@ -375,6 +414,7 @@
       refusals: this.driver?.takeRefusals() ?? [],
       lost: this.lost,
       hasNoRuns: this.hasNoRuns(sendTime.nowMs),
+      crash: this.crashToReport(sendTime.nowMs, inventory !== undefined),
     });
   }
 
--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -340,8 +340,10 @@
 
   private applyReport(engine: JobEngine, report: AgentReport): void {
     const nowMs = this.ctx.clock.nowMs();
-    const {inventory, agent, refusals, lost, hasNoRuns} = report;
+    const {inventory, agent, refusals, lost, hasNoRuns, crash} = report;
     for (const refusal of refusals) engine.recordRefusal(refusal, nowMs);
+    // Recorded first, since what follows ends the runs on the worker without blame.
+    if (crash) engine.recordCrash(agent, crash, inventory, nowMs);
     if (lost)
       engine.markWorkerLost(
         lost.worker,
--- a/src/protocol/job_messages.ts
+++ b/src/protocol/job_messages.ts
@@ -1,6 +1,7 @@
 /** Messages about jobs between gates and agents. All durations are in milliseconds. */
 import * as z from 'zod';
 import {
+  type WorkerCrash,
   type WorkerInventory,
   type Order,
   type StartRefusal,
@@ -102,6 +103,8 @@
   readonly lost?: LostWorker;
   /** No incarnation of the worker has answered for longer than its leases last. */
   readonly hasNoRuns?: boolean;
+  /** The crash that ended the predecessor of the worker, reported throughout its life. */
+  readonly crash?: WorkerCrash;
 }
 
 /** Heartbeat of an agent on the link to a gate that does not lead. */
@@ -128,6 +131,9 @@
       refusals: z.array(refusalSchema),
       lost: z.object({worker: boundedText, reason: boundedText}).optional(),
       hasNoRuns: z.boolean().optional(),
+      crash: z
+        .object({worker: boundedText, sinceMs: z.number().min(0)})
+        .optional(),
     }),
     z.object({
       type: z.literal('probe'),
--- a/standins/task_worker.ts
+++ b/standins/task_worker.ts
@@ -80,6 +80,8 @@
   renewalsUntilUnresponsive: number;
   /** Every run fails immediately after its start. */
   failsAllRuns: boolean;
+  /** Tasks that crash the worker as soon as they start. */
+  crashingTasks: ReadonlySet<string>;
 }
 
 export class StandInTaskWorker extends TaskWorker {
@@ -94,6 +96,7 @@
     stopMs: 0,
     renewalsUntilUnresponsive: Infinity,
     failsAllRuns: false,
+    crashingTasks: new Set(),
   };
   /** Number of starts that were carried out. */
   startCount = 0;
@@ -101,6 +104,9 @@
   answeredRenewals = 0;
   /** A longer lease is shortened to this, in ms. */
   maxLeaseMs = Infinity;
+  /** Whether the worker has crashed and not restarted yet. */
+  isDown = false;
+  private crashCount = 0;
   private runs = new Map<string, Run>();
   private unacknowledgedEnds: EndedRun[] = [];
   private highestRunByTask = new Map<string, number>();
@@ -151,6 +157,13 @@
     for (const execute of this.heldStarts.splice(0)) execute();
   }
 
+  /** Simulates a crash; the worker restarts under a new id after a while. */
+  crash(): void {
+    this.restart(`${this.id.split('#')[0]}#${++this.crashCount}`);
+    this.isDown = true;
+    setTimeout(() => (this.isDown = false), CRASH_DOWN_MS);
+  }
+
   /** Ends all runs without listing their ends; later calls are refused. */
   terminate(): void {
     this.faults.isTerminated = true;
@@ -167,7 +180,7 @@
     req: StartRequest,
     timeoutMs: number,
   ): Promise<StartReply> {
-    if (this.faults.isTerminated) return {type: 'unreachable'};
+    if (this.faults.isTerminated || this.isDown) return {type: 'unreachable'};
     if (this.faults.isUnresponsive) return this.waitForTimeout(timeoutMs);
     if (this.faults.delayedStarts > 0) {
       this.faults.delayedStarts--;
@@ -191,12 +204,11 @@
     fencingToken: number,
     timeoutMs: number,
   ): Promise<StopReply> {
-    if (this.faults.isTerminated) return 'unanswered';
     if (this.faults.isUnresponsive) {
       await this.waitForTimeout(timeoutMs);
       return 'unanswered';
     }
-    if (this.faults.isTerminated) return 'unanswered';
+    if (this.faults.isTerminated || this.isDown) return 'unanswered';
     if (workerId !== this.id) return 'otherIncarnation';
     if (fencingToken < this.highestFencingToken) return 'fenced';
     this.highestFencingToken = fencingToken;
@@ -214,7 +226,7 @@
     if (this.faults.renewalsUntilUnresponsive-- <= 0)
       this.faults.isUnresponsive = true;
     await new Promise(resolve => setImmediate(resolve));
-    if (this.faults.isTerminated) return {type: 'refused'};
+    if (this.faults.isTerminated || this.isDown) return {type: 'refused'};
     if (this.faults.isUnresponsive) {
       await this.waitForTimeout(timeoutMs);
       return {type: 'unanswered'};
@@ -227,6 +239,7 @@
     const {restarts} = this;
     if (req.waitMs > 0 && this.unacknowledgedEnds.length === 0)
       await this.waitForEnd(req);
+    // A crash breaks the connections of calls in progress.
     if (restarts !== this.restarts || this.faults.isTerminated)
       return {type: 'unanswered'};
     this.answeredRenewals++;
@@ -281,6 +294,8 @@
     this.startCount++;
     this.monitor.recordStart(req.task);
     if (this.faults.failsAllRuns) this.end(run, RunEndKind.FAILED);
+    if (this.faults.crashingTasks.has(req.task))
+      setTimeout(() => this.crashUnder(run), TICK_INTERVAL_MS);
     return {type: 'started', clockMs};
   }
 
@@ -308,6 +323,10 @@
     );
   }
 
+  private crashUnder(run: Run): void {
+    if (this.runs.get(run.task) === run) this.crash();
+  }
+
   private endDueRuns(): void {
     const nowMs = this.readClock();
     for (const run of [...this.runs.values()]) {
@@ -363,3 +382,5 @@
 
 /** Interval of the checks for due runs and expired leases, in ms. */
 const TICK_INTERVAL_MS = 10;
+/** Time from a crash to the restart, in ms. */
+const CRASH_DOWN_MS = 300;
--- a/tests/steps/job_steps.ts
+++ b/tests/steps/job_steps.ts
@@ -673,16 +673,18 @@
 let removes: readonly string[] = [];
 
 Given(
-  /^the stored rows show that the only task of a job (is done|has used all of its attempts), but not the job result$/,
+  /^the stored rows show that the only task of a job (is done|has used all of its attempts|has crashed 3 workers), but not the job result$/,
   (taskState: string) => {
     const job = makeStoredJob([makeStep()]);
     const isDone = taskState === 'is done';
+    const hasFailed = taskState === 'has used all of its attempts';
     const task: TaskRecord = {
       state: isDone ? TaskState.DONE : TaskState.WAITING,
       run: TEST_QUEUE.maxAttempts,
       worker: '',
       checkpoint: '',
-      failures: isDone ? 0 : TEST_QUEUE.maxAttempts,
+      failures: hasFailed ? TEST_QUEUE.maxAttempts : 0,
+      crashes: {total: isDone || hasFailed ? 0 : 3, alone: 1},
     };
     storedJob = {jobIndex: indexOf(job, task), job};
   },
