Don't start runs on workers that have shrunk since they were placed

A worker whose capacity shrank while a start was on its way was brought over it: the start had been placed before, and was ordered after the commit, or passed on by the agent, without a look at the newer capacity. A run that the leader has not recorded, such as one that appeared after it had been taken for over, did not count for the room on its worker at all, unless it was listed when the leader first saw the worker.

- When a commit is done, placements that exceed what the worker has now are withdrawn, the last first and gangs whole; no start of them has been sent.
A repeated start to a worker that is too full becomes a stop.
- A start names the capacity that it is based on.
The agent refuses it, also between its attempts, if the worker has reported less since.
The field is optional, so leaders without it are still understood.
- Allocations are taken from each inventory: runs that are placed on the worker, and all others that it lists, until their end is listed.

Runs that no longer fit are left alone. Placement, best fit, the clearing of workers and the capacity that becomes free soon compute with negative free capacity correctly, and the largest capacities of a service never shrink, so nothing changes there.

--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -22,6 +22,7 @@
 import {type LeaseRenewer} from './lease_renewer.js';
 import {type RunConclusion, RunProof} from './run_conclusion.js';
 import {RunTable} from './run_table.js';
+import {hasShrunkSince} from './start_admission.js';
 
 /**
  * Time that the worker waits for a run to end before it answers a renewal, in ms. This is
@@ -36,6 +37,14 @@
 /** Time without an answer after which the worker gets no new runs, in ms. */
 const UNREACHABLE_AFTER_MS = 2500; // longer than one poll including its timeout
 
+/** Why a start is not sent to the worker. */
+const UNSENT_REASONS = {
+  noLease:
+    'no contact with the leader or the worker, or the worker is draining',
+  workerShrunk: 'the worker has shrunk since the start was ordered',
+} as const;
+type UnsentStart = keyof typeof UNSENT_REASONS;
+
 /** State of a worker as one process knows it, for the log. */
 export interface WorkerFacts {
   /** Number of runs that have not been proven to be over. */
@@ -182,9 +191,8 @@
     let reason: string = 'no answer in time';
     while (this.shouldStart(order) && clock.nowMs() < retryUntilMs) {
       const reply = await this.tryStart(order);
-      if (reply === 'noLease') {
-        reason =
-          'no contact with the leader or the worker, or the worker is draining';
+      if (typeof reply === 'string') {
+        reason = UNSENT_REASONS[reply];
         break;
       }
       if (reply.type === 'started') return this.confirm(order);
@@ -252,10 +260,11 @@
     );
   }
 
-  private async tryStart(order: StartOrder): Promise<StartReply | 'noLease'> {
+  private async tryStart(order: StartOrder): Promise<StartReply | UnsentStart> {
     const {worker, clock, lease, log, metrics} = this.ctx;
     const startMs = clock.nowMs();
     if (this.report.draining || !this.isReachable) return 'noLease';
+    if (hasShrunkSince(order, this.report)) return 'workerShrunk';
     const leaseUntilMs = lease.nextLeaseUntilMs(readClocks(this.ctx.clock));
     if (leaseUntilMs === undefined) return 'noLease';
     this.recordLeaseRequest(leaseUntilMs);
--- a/src/jobs/engine_messages.ts
+++ b/src/jobs/engine_messages.ts
@@ -1,4 +1,5 @@
 /** Orders that the engine sends to agents, and reports that agents send to the engine. */
+import {type Resources} from './job.js';
 import {type RunEndKind} from '../ports/task_worker.js';
 import {type WorkerReport} from './worker_pool.js';
 
@@ -9,6 +10,8 @@
   readonly run: number;
   readonly payload: string;
   readonly checkpoint: string;
+  /** Capacity of the worker on which the order is based. */
+  readonly workerCapacity?: Resources;
 }
 
 export interface StopOrder {
--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -209,10 +209,11 @@
     if (!this.markOlderIncarnationsLost(agent, key, worker.bornMs, nowMs))
       return;
     this.recordContact(agent, nowMs);
-    const trackedWorker = this.getOrAddWorker(agent, key, inventory);
+    const trackedWorker = this.getOrAddWorker(agent, key, worker);
     trackedWorker.update(worker);
     this.recordCapacity(worker);
     this.recordEnds(agent, key, ends, nowMs);
+    this.updateAllocations(trackedWorker, runs);
     this.recordRuns(key, runs, nowMs);
     const known = new Map(runs.map(r => [`${r.task}#${r.run}`, r]));
     for (const task of this.placedByWorker.get(key) ?? []) {
@@ -406,16 +407,49 @@
     orders: readonly AddressedOrder[],
     nowMs: number,
   ): AddressedOrder[] {
-    return orders.filter(({order}) => {
-      if (order.type !== 'start') return true;
+    this.withdrawExcessStarts(orders, nowMs);
+    return orders.flatMap(addressed => {
+      const {order} = addressed;
+      if (order.type !== 'start') return [addressed];
       const task = this.findPlacedTask(order.worker, order);
-      if (!task) return false;
+      if (!task) return [];
       task.isOrdered = true;
       task.orderedAtMs = nowMs;
-      return !task.isStopping;
+      if (task.isStopping) return [];
+      return [{...addressed, order: this.startOrder(task)}];
     });
   }
 
+  /** Takes back placements on workers that have shrunk since, the last ones first. */
+  private withdrawExcessStarts(
+    orders: readonly AddressedOrder[],
+    nowMs: number,
+  ): void {
+    for (const {order} of [...orders].reverse()) {
+      if (order.type !== 'start') continue;
+      const task = this.findPlacedTask(order.worker, order);
+      if (task?.unit && this.pool.get(order.worker)?.isOverfull)
+        this.withdrawUnit(task.unit, nowMs);
+    }
+  }
+
+  /** Takes back a placement of which no start has been sent. */
+  private withdrawUnit(unit: Unit, nowMs: number): void {
+    const [first, ...others] = unit.tasks.filter(t => t.isPlaced);
+    for (const task of [first, ...others]) {
+      this.log({
+        event: 'withdrawn',
+        task: task.name,
+        run: task.run,
+        worker: task.worker,
+        reason: 'the worker has shrunk',
+      });
+      this.pool.get(task.worker)?.release(task.name, task.run);
+    }
+    for (const task of others) this.clearPlacement(task);
+    this.endPlacement(first, nowMs);
+  }
+
   /** Ids of ended jobs past their retention. Their callers' rows are removed first. */
   get expiredJobs(): ReadonlySet<string> {
     return this.expiredJobIds;
@@ -534,28 +568,36 @@
   private getOrAddWorker(
     agent: string,
     key: string,
-    inventory: WorkerInventory,
+    report: WorkerReport,
   ): TrackedWorker {
     const found = this.pool.get(key);
     if (found) return found;
-    const trackedWorker = new TrackedWorker(agent, key, inventory.worker);
+    const trackedWorker = new TrackedWorker(agent, key, report);
     this.pool.add(trackedWorker);
     this.knownWorkers.add(key);
     for (const task of this.tasksPlacedOn(key))
       this.allocate(trackedWorker, task);
-    for (const run of inventory.runs) {
-      const task = this.tasks.get(run.task);
-      if (task)
-        trackedWorker.allocate({
-          task: run.task,
-          run: run.run,
-          request: task.step.spec.request,
-        });
-    }
     this.log({event: 'workerSeen', worker: key});
     return trackedWorker;
   }
 
+  /** Allocates capacity to the runs that are placed on the worker or listed by it. */
+  private updateAllocations(
+    worker: TrackedWorker,
+    runs: readonly RunStatus[],
+  ): void {
+    const listed = new Set(runs.map(r => `${r.task}#${r.run}`));
+    worker.retain(
+      ref =>
+        listed.has(`${ref.task}#${ref.run}`) ||
+        this.findPlacedTask(worker.key, ref) !== undefined,
+    );
+    for (const {task, run} of runs) {
+      const request = this.tasks.get(task)?.step.spec.request;
+      if (request) worker.allocate({task, run, request});
+    }
+  }
+
   /** Marks older incarnations lost; returns false if a newer one is already known. */
   private markOlderIncarnationsLost(
     agent: string,
@@ -592,13 +634,14 @@
     const agent = agentOf(task.worker);
     const {unit} = task;
     const worker = this.pool.get(task.worker);
-    if (!unit || task.isStopping || worker?.report.draining) {
+    const takesNoStart = worker?.report.draining || worker?.isOverfull;
+    if (!unit || task.isStopping || takesNoStart) {
       task.isStopping = true;
       this.order(agent, stopOrder(task.worker, task.ref));
       return;
     }
     this.log({event: 'orderRepeated', task: task.name, run: task.run});
-    this.order(agent, startOrder(task));
+    this.order(agent, this.startOrder(task));
   }
 
   private placeUnit(
@@ -617,7 +660,7 @@
       this.markDirty(task);
       this.ordersAwaitingCommit.push({
         agent: agentOf(task.worker),
-        order: startOrder(task),
+        order: this.startOrder(task),
       });
       this.log({
         event: 'placed',
@@ -789,9 +832,7 @@
   /** Handles a run that ended without completing its task. */
   private endPlacement(task: TrackedTask, nowMs: number): void {
     const unit = task.unit!;
-    this.placedByWorker.get(task.worker)?.delete(task);
-    task.clearPlacement();
-    this.markDirty(task);
+    this.clearPlacement(task);
     if (unit.isPlaced) {
       this.stopUnit(unit, DiscardCause.GANG_BROKEN);
       return;
@@ -802,6 +843,12 @@
     unit.notBeforeMs = Math.max(unit.notBeforeMs, nowMs);
   }
 
+  private clearPlacement(task: TrackedTask): void {
+    this.placedByWorker.get(task.worker)?.delete(task);
+    task.clearPlacement();
+    this.markDirty(task);
+  }
+
   private finishJob(job: TrackedJob, result: JobResult, nowMs: number): void {
     this.dirtyRows.set(rowKeys.jobResult(job.spec.id), () =>
       encodeJobResult(result),
@@ -876,6 +923,18 @@
     return unit.job.currentQueue(this.tables.queues);
   }
 
+  private startOrder(task: TrackedTask): Order {
+    return {
+      type: 'start',
+      worker: task.worker,
+      task: task.name,
+      run: task.run,
+      payload: task.step.occurrence.job.spec.payload,
+      checkpoint: task.checkpoint,
+      workerCapacity: this.pool.get(task.worker)?.report.capacity,
+    };
+  }
+
   private order(agent: string, order: Order): void {
     this.readyOrders.push({agent, order});
   }
@@ -913,17 +972,6 @@
   return new Set(job.tasks.map(t => rowKeys.block(t.step.blockOf(t))));
 }
 
-function startOrder(task: TrackedTask): Order {
-  return {
-    type: 'start',
-    worker: task.worker,
-    task: task.name,
-    run: task.run,
-    payload: task.step.occurrence.job.spec.payload,
-    checkpoint: task.checkpoint,
-  };
-}
-
 function stopOrder(worker: string, {task, run}: RunRef): Order {
   return {type: 'stop', worker, task, run};
 }
--- a/src/jobs/worker_pool.ts
+++ b/src/jobs/worker_pool.ts
@@ -74,6 +74,18 @@
     this.free = subtractResources(this.free, allocation.request);
   }
 
+  /** Whether the runs on the worker need more than it has, since it has shrunk. */
+  get isOverfull(): boolean {
+    const {cpu, memoryMb, accelerators} = this.free;
+    return cpu < 0 || memoryMb < 0 || accelerators < 0;
+  }
+
+  /** Releases all allocations but those that `isHeld` names. */
+  retain(isHeld: (allocation: Allocation) => boolean): void {
+    for (const allocation of [...this.allocations.values()])
+      if (!isHeld(allocation)) this.release(allocation.task, allocation.run);
+  }
+
   release(task: string, run: number): void {
     const key = `${task}#${run}`;
     const allocation = this.allocations.get(key);
--- a/src/protocol/job_messages.ts
+++ b/src/protocol/job_messages.ts
@@ -5,6 +5,7 @@
   type Order,
   type StartRefusal,
 } from '../jobs/engine_messages.js';
+import {type Resources} from '../jobs/job.js';
 import {type WorkerReport} from '../jobs/worker_pool.js';
 import {RunEndKind} from '../ports/task_worker.js';
 import {decodeMessage, encodeMessage} from './message_codec.js';
@@ -13,17 +14,19 @@
 const boundedText = z.string().max(8192);
 const nonNegativeInteger = z.number().int().min(0);
 
+const resourcesSchema: z.ZodType<Resources> = z.object({
+  cpu: z.number(),
+  memoryMb: z.number(),
+  accelerators: z.number(),
+});
+
 const workerReportSchema: z.ZodType<WorkerReport> = z.object({
   id: boundedText,
   bornMs: z.number(),
   service: boundedText,
   rack: boundedText,
   labels: z.array(boundedText),
-  capacity: z.object({
-    cpu: z.number(),
-    memoryMb: z.number(),
-    accelerators: z.number(),
-  }),
+  capacity: resourcesSchema,
   draining: z.boolean(),
   drainRemainingMs: z.number(),
 });
@@ -65,6 +68,7 @@
     run: nonNegativeInteger,
     payload: boundedText,
     checkpoint: boundedText,
+    workerCapacity: resourcesSchema.optional(),
   }),
   z.object({
     type: z.literal('stop'),
