Refuse a start again that was refused before

Two runs of one task could exist at the same time: an agent refused a start (no room, no lease, the worker draining or shrunk), the leader took the run for over and placed the task elsewhere, and a repetition of the order, sent before the refusal had arrived, then started the refused run.

Leaders repeat an order that is missing from an inventory: after 1 s, and after a takeover with the first inventory. The table of runs forgot a run with its refusal, so the repetition counted as a new order. It now remembers the newest refused run of each task and refuses such orders again, which also repeats a refusal whose report was lost.

The test orders a start, takes the refusal, and repeats the order: the worker started it before.

What remains: an agent that restarts has lost this memory.

--- a/src/agent/run_table.ts
+++ b/src/agent/run_table.ts
@@ -42,12 +42,17 @@
   return `${task}#${run}`;
 }
 
+/** Number of tasks whose refused runs are remembered; orders are repeated for seconds. */
+const MAX_REFUSED_TASKS = 10_000;
+
 export class RunTable {
   private readonly entries = new Map<string, RunEntry>();
   private readonly ended = new Map<number, EndReport>();
   private newestEndNumber = 0;
   private acknowledged = 0;
   private refusals: StartRefusal[] = [];
+  /** Newest refused run of each task. */
+  private readonly refusedRuns = new Map<string, number>();
   private conclusions: RunConclusion[] = [];
   /** When the newest list was requested, in ms of the monotonic clock. */
   private newestRequestMs = -Infinity;
@@ -62,10 +67,17 @@
     return this.entries.size === 0;
   }
 
-  /** Adds a run that is about to be started; returns false if it is already known. */
+  /**
+   * Adds a run that is about to be started; returns false if it is already known. A run
+   * that was refused is refused again, since the leader may have placed its task anew.
+   */
   addStarting(task: string, run: number, nowMs: number): boolean {
     const key = keyOf(task, run);
     if (this.entries.has(key) || this.findEnd(task, run)) return false;
+    if (run <= (this.refusedRuns.get(task) ?? 0)) {
+      this.recordRefusal(task, run, 'refused before');
+      return false;
+    }
     this.entries.set(key, newEntry(task, run, RunPhase.STARTING, nowMs));
     return true;
   }
@@ -81,6 +93,12 @@
   recordRefusal(task: string, run: number, reason: string): void {
     this.entries.delete(keyOf(task, run));
     this.refusals.push({worker: this.workerKey, task, run, reason});
+    const refusedRun = this.refusedRuns.get(task) ?? 0;
+    this.refusedRuns.set(task, Math.max(refusedRun, run));
+    if (this.refusedRuns.size > MAX_REFUSED_TASKS) {
+      const [oldest] = this.refusedRuns.keys();
+      this.refusedRuns.delete(oldest);
+    }
   }
 
   /** Records that a run is being stopped; returns false if it has ended or already is. */
--- a/tests/features/worker_capacity.feature
+++ b/tests/features/worker_capacity.feature
@@ -48,3 +48,11 @@
     Then it is not placed
     And no run is stopped
     And it is placed once one of the runs has ended
+
+  # Guards against two runs of a task: a repeated order starts what was refused and placed anew.
+  Scenario: A start that was refused is refused again when its order is repeated
+    Given an agent whose worker reported 4 accelerators
+    When a start is ordered for a worker of 8 accelerators
+    And the refusal is reported
+    And the worker reports 8 accelerators and the order is repeated
+    Then the start is refused
--- a/tests/steps/worker_capacity_steps.ts
+++ b/tests/steps/worker_capacity_steps.ts
@@ -328,18 +328,30 @@
   },
 );
 
+function orderStart(accelerators: number): Promise<void> {
+  return driver!.start({
+    type: 'start',
+    worker: driver!.key,
+    task: 'j1.0.0.0',
+    run: 1,
+    payload: 'p',
+    checkpoint: '',
+    workerCapacity: resourcesFor(accelerators),
+  });
+}
+
+When('a start is ordered for a worker of {int} accelerators', orderStart);
+
+When('the refusal is reported', () =>
+  assert.equal(driver!.takeRefusals().length, 1),
+);
+
 When(
-  'a start is ordered for a worker of {int} accelerators',
-  (accelerators: number) =>
-    driver!.start({
-      type: 'start',
-      worker: driver!.key,
-      task: 'j1.0.0.0',
-      run: 1,
-      payload: 'p',
-      checkpoint: '',
-      workerCapacity: resourcesFor(accelerators),
-    }),
+  'the worker reports {int} accelerators and the order is repeated',
+  async (accelerators: number) => {
+    driver!.update(makeReport(accelerators));
+    await orderStart(accelerators);
+  },
 );
 
 Then(/^the start is (sent|refused)$/, (result: string) => {
