--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -24,6 +24,7 @@
 import {type LeaseRenewer} from './lease_renewer.js';
 import {type RunConclusion, RunProof} from './run_conclusion.js';
 import {RunTable} from './run_table.js';
+import {hasShrunkSince} from './start_admission.js';
 
 /**
  * Time that the worker waits for a run to end before it answers a renewal, in ms. This is
@@ -38,6 +39,14 @@
 /** Time without an answer after which the worker gets no new runs, in ms. */
 const UNREACHABLE_AFTER_MS = 2500; // longer than one poll including its timeout
 
+/** Why a start is not sent to the worker. */
+const UNSENT_REASONS = {
+  noLease:
+    'no contact with the leader or the worker, or the worker is draining',
+  workerShrunk: 'the worker has shrunk since the start was ordered',
+} as const;
+type UnsentStart = keyof typeof UNSENT_REASONS;
+
 /** State of a worker as one process knows it, for the log. */
 export interface WorkerFacts {
   /** Number of runs that have not been proven to be over. */
@@ -204,9 +213,8 @@
     while (this.shouldStart(order) && clock.nowMs() < retryUntilMs) {
       const {token} = this;
       const reply = await this.tryStart(order, token);
-      if (reply === 'noLease') {
-        reason =
-          'no contact with the leader or the worker, or the worker is draining';
+      if (typeof reply === 'string') {
+        reason = UNSENT_REASONS[reply];
         break;
       }
       if (reply.type === 'started') return this.confirm(order);
@@ -287,10 +295,11 @@
   private async tryStart(
     order: StartOrder,
     fencingToken: number,
-  ): Promise<StartReply | 'noLease'> {
+  ): Promise<StartReply | UnsentStart> {
     const {worker, clock, lease, log, metrics} = this.ctx;
     const startMs = clock.nowMs();
     if (this.report.draining || !this.isReachable) return 'noLease';
+    if (hasShrunkSince(order, this.report)) return 'workerShrunk';
     // A start must not reach a later incarnation before the agent knows of that one.
     if (this.isSilent) return {type: 'unreachable'};
     const leaseUntilMs = lease.nextLeaseUntilMs(readClocks(this.ctx.clock));
--- a/src/jobs/engine_messages.ts
+++ b/src/jobs/engine_messages.ts
@@ -1,4 +1,5 @@
 /** Orders that the engine sends to agents, and reports that agents send to the engine. */
+import {type Resources} from './job.js';
 import {type RunEndKind} from '../ports/task_worker.js';
 import {type WorkerReport} from './worker_pool.js';
 
@@ -11,6 +12,8 @@
   readonly checkpoint: string;
   /** Whether the run may have been ordered before, so that it may have started. */
   readonly isRepeated: boolean;
+  /** Capacity of the worker on which the order is based. */
+  readonly workerCapacity?: Resources;
 }
 
 export interface StopOrder {
--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -220,10 +220,11 @@
     if (!this.incarnations.observe(agent, key)) return;
     this.replaceOtherIncarnations(agent, key, inventory, nowMs);
     this.recordContact(agent, nowMs);
-    const trackedWorker = this.getOrAddWorker(agent, key, inventory);
+    const trackedWorker = this.getOrAddWorker(agent, key, worker);
     trackedWorker.update(worker);
     this.recordCapacity(worker);
     this.recordEnds(agent, key, ends, nowMs);
+    this.updateAllocations(trackedWorker, runs);
     this.recordRuns(key, runs, nowMs);
     const known = new Map(runs.map(r => [`${r.task}#${r.run}`, r]));
     for (const task of this.placedByWorker.get(key) ?? []) {
@@ -495,16 +496,49 @@
     orders: readonly AddressedOrder[],
     nowMs: number,
   ): AddressedOrder[] {
-    return orders.filter(({order}) => {
-      if (order.type !== 'start') return true;
+    this.withdrawExcessStarts(orders, nowMs);
+    return orders.flatMap(addressed => {
+      const {order} = addressed;
+      if (order.type !== 'start') return [addressed];
       const task = this.findPlacedTask(order.worker, order);
-      if (!task) return false;
+      if (!task) return [];
       task.isOrdered = true;
       task.orderedAtMs = nowMs;
-      return !task.isStopping;
+      if (task.isStopping) return [];
+      return [{...addressed, order: this.startOrder(task, false)}];
     });
   }
 
+  /** Takes back placements on workers that have shrunk since, the last ones first. */
+  private withdrawExcessStarts(
+    orders: readonly AddressedOrder[],
+    nowMs: number,
+  ): void {
+    for (const {order} of [...orders].reverse()) {
+      if (order.type !== 'start') continue;
+      const task = this.findPlacedTask(order.worker, order);
+      if (task?.unit && this.pool.get(order.worker)?.isOverfull)
+        this.withdrawUnit(task.unit, nowMs);
+    }
+  }
+
+  /** Takes back a placement of which no start has been sent. */
+  private withdrawUnit(unit: Unit, nowMs: number): void {
+    const [first, ...others] = unit.tasks.filter(t => t.isPlaced);
+    for (const task of [first, ...others]) {
+      this.log({
+        event: 'withdrawn',
+        task: task.name,
+        run: task.run,
+        worker: task.worker,
+        reason: 'the worker has shrunk',
+      });
+      this.pool.get(task.worker)?.release(task.name, task.run);
+    }
+    for (const task of others) this.clearPlacement(task);
+    this.endPlacement(first, nowMs);
+  }
+
   /** Ids of ended jobs past their retention. Their callers' rows are removed first. */
   get expiredJobs(): ReadonlySet<string> {
     return this.expiredJobIds;
@@ -623,28 +657,36 @@
   private getOrAddWorker(
     agent: string,
     key: string,
-    inventory: WorkerInventory,
+    report: WorkerReport,
   ): TrackedWorker {
     const found = this.pool.get(key);
     if (found) return found;
-    const trackedWorker = new TrackedWorker(agent, key, inventory.worker);
+    const trackedWorker = new TrackedWorker(agent, key, report);
     this.pool.add(trackedWorker);
     this.knownWorkers.add(key);
     for (const task of this.tasksPlacedOn(key))
       this.allocate(trackedWorker, task);
-    for (const run of inventory.runs) {
-      const task = this.tasks.get(run.task);
-      if (task)
-        trackedWorker.allocate({
-          task: run.task,
-          run: run.run,
-          request: task.step.spec.request,
-        });
-    }
     this.log({event: 'workerSeen', worker: key});
     return trackedWorker;
   }
 
+  /** Allocates capacity to the runs that are placed on the worker or listed by it. */
+  private updateAllocations(
+    worker: TrackedWorker,
+    runs: readonly RunStatus[],
+  ): void {
+    const listed = new Set(runs.map(r => `${r.task}#${r.run}`));
+    worker.retain(
+      ref =>
+        listed.has(`${ref.task}#${ref.run}`) ||
+        this.findPlacedTask(worker.key, ref) !== undefined,
+    );
+    for (const {task, run} of runs) {
+      const request = this.tasks.get(task)?.step.spec.request;
+      if (request) worker.allocate({task, run, request});
+    }
+  }
+
   /**
    * Ends other incarnations of a worker. Start times do not order them, since wall clocks
    * jump; the agent reports one only after it answered.
@@ -714,13 +756,14 @@
     const agent = agentOf(task.worker);
     const {unit} = task;
     const worker = this.pool.get(task.worker);
-    if (!unit || task.isStopping || worker?.report.draining) {
+    const takesNoStart = worker?.report.draining || worker?.isOverfull;
+    if (!unit || task.isStopping || takesNoStart) {
       task.isStopping = true;
       this.order(agent, stopOrder(task.worker, task.ref));
       return;
     }
     this.log({event: 'orderRepeated', task: task.name, run: task.run});
-    this.order(agent, startOrder(task, true));
+    this.order(agent, this.startOrder(task, true));
   }
 
   private placeUnit(
@@ -739,7 +782,7 @@
       this.markDirty(task);
       this.ordersAwaitingCommit.push({
         agent: agentOf(task.worker),
-        order: startOrder(task, false),
+        order: this.startOrder(task, false),
       });
       this.log({
         event: 'placed',
@@ -913,9 +956,7 @@
   /** Handles a run that ended without completing its task. */
   private endPlacement(task: TrackedTask, nowMs: number): void {
     const unit = task.unit!;
-    this.placedByWorker.get(task.worker)?.delete(task);
-    task.clearPlacement();
-    this.markDirty(task);
+    this.clearPlacement(task);
     if (unit.isPlaced) {
       this.stopUnit(unit, DiscardCause.GANG_BROKEN);
       return;
@@ -926,6 +967,12 @@
     unit.notBeforeMs = Math.max(unit.notBeforeMs, nowMs);
   }
 
+  private clearPlacement(task: TrackedTask): void {
+    this.placedByWorker.get(task.worker)?.delete(task);
+    task.clearPlacement();
+    this.markDirty(task);
+  }
+
   private finishJob(
     job: TrackedJob,
     result: JobResult,
@@ -1005,6 +1052,19 @@
     return unit.job.currentQueue(this.tables.queues);
   }
 
+  private startOrder(task: TrackedTask, isRepeated: boolean): Order {
+    return {
+      type: 'start',
+      worker: task.worker,
+      task: task.name,
+      run: task.run,
+      payload: task.step.occurrence.job.spec.payload,
+      checkpoint: task.checkpoint,
+      isRepeated,
+      workerCapacity: this.pool.get(task.worker)?.report.capacity,
+    };
+  }
+
   private order(agent: string, order: Order): void {
     this.readyOrders.push({agent, order});
   }
@@ -1042,18 +1102,6 @@
   return new Set(job.tasks.map(t => rowKeys.block(t.step.blockOf(t))));
 }
 
-function startOrder(task: TrackedTask, isRepeated: boolean): Order {
-  return {
-    type: 'start',
-    worker: task.worker,
-    task: task.name,
-    run: task.run,
-    payload: task.step.occurrence.job.spec.payload,
-    checkpoint: task.checkpoint,
-    isRepeated,
-  };
-}
-
 function stopOrder(worker: string, {task, run}: RunRef): Order {
   return {type: 'stop', worker, task, run};
 }
