A crash before a takeover counts for the new leader too

Cause: the new leader dated adopted runs at its takeover. Once an agent had listed the run of the worker that was already down, it counted as placed after the crash. Adopted runs are now older than any crash.

"Crashes are counted across leaders" failed with the takeover 500 ms after each crash in place of at the same moment, and passes now.

--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -483,7 +483,7 @@
         this.openOccurrence(job, occurrence, nowMs, entry);
     }
     if (!job.isEnded) this.openDueOccurrences(job, nowMs, wallMs);
-    for (const task of job.tasks) if (task.isPlaced) this.adopt(task, nowMs);
+    for (const task of job.tasks) if (task.isPlaced) this.adopt(task);
     if (!job.isEnded) this.finishJobIfDecided(job, nowMs);
   }
 
@@ -498,9 +498,9 @@
     else if (job.isDone) this.finishJob(job, JobResult.COMPLETED, nowMs);
   }
 
-  private adopt(task: TrackedTask, nowMs: number): void {
+  private adopt(task: TrackedTask): void {
     this.tasksPlacedOn(task.worker).add(task);
-    task.placedAtMs = nowMs;
+    task.placedAtMs = -Infinity;
     task.isOrdered = true;
     task.isAgeUnknown = true;
     const {unit} = task;
--- a/src/jobs/tracked_job.ts
+++ b/src/jobs/tracked_job.ts
@@ -42,7 +42,10 @@
   failures: number;
   crashes: CrashCounts;
   crashedAfterMs = 0;
-  /** When the newest run was placed, in ms of the monotonic clock. */
+  /**
+   * When the newest run was placed, in ms of the monotonic clock; -Infinity if an earlier
+   * leader placed it.
+   */
   placedAtMs = 0;
   /** When the run was first reported running, in ms of the monotonic clock; 0 before. */
   runningSinceMs = 0;
@@ -337,8 +340,7 @@
 ): CrashedRun<TrackedTask>[] {
   const runs: CrashedRun<TrackedTask>[] = [];
   for (const task of placed) {
-    const wasOrdered = task.isAgeUnknown || task.placedAtMs <= atMs;
-    if (!task.isOrdered || !wasOrdered) continue;
+    if (!task.isOrdered || task.placedAtMs > atMs) continue;
     runs.push({task, ageMs: Math.max(0, ranMs(task, atMs))});
   }
   return runs;
--- a/tests/steps/crash_steps.ts
+++ b/tests/steps/crash_steps.ts
@@ -425,6 +425,7 @@
 When('each crash is followed by a takeover', () => {
   for (let crashes = 1; crashes <= 3; crashes++) {
     advanceUntil(() => simulation.crashes.length >= crashes, 30_000);
+    simulation.advance(500);
     simulation.takeOver();
   }
 });
