--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -413,7 +413,7 @@
       inventory,
       refusals: this.driver?.takeRefusals() ?? [],
       lost: this.lost,
-      hasNoRuns: this.hasNoRuns(sendTime.nowMs),
+      hasNoRuns: !inventory && this.hasNoRuns(sendTime.nowMs),
       crash: this.crashToReport(sendTime.nowMs, inventory !== undefined),
     });
   }
