--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -205,7 +205,10 @@
     const {task, run} = order;
     const {clock} = this.ctx;
     // An earlier process may have started it; the leader repeats the order.
-    if (!this.hasRunLists) return;
+    if (!this.hasRunLists) {
+      this.ctx.log.logEvent('orderBeforeLists', {task, run, worker: this.key});
+      return;
+    }
     if (!this.table.addStarting(task, run, clock.nowMs())) return;
     const retryUntilMs = clock.nowMs() + START_RETRY_TIMEOUT_MS;
     let unansweredAttempts = 0;
