Refused connections do not end the runs of a worker that leaves

Cause: DepartureDetector took a worker for terminated once its announced time was over and its address had refused calls for 1 s (0.2 s after a deregistration), and the agent then reported and stored the end of its runs. The announced time is only the earliest end, and a refused connection says nothing about the runs.

Ruled out: a second leader, a late order, an expired lease.

Change: an agent drops such a worker only when none of its runs is left or all leases have expired. So that work need not wait for leases, the agent stops the runs by the longest stop time and 0.3 s before the worker may leave; their ends and checkpoints are listed while the worker answers. A deregistration is answered when no run is left, at the latest after 0.8 s, and one of an earlier incarnation with the same id is not applied to the current one.

"A worker drains and terminates without a word" guards the price: with leases of 120 s its task must not wait for them.

A trial that spared runs which would be done in time was dropped: a run that ends in the last moment, unseen, would be run again.

--- a/src/agent/departure_detector.ts
+++ b/src/agent/departure_detector.ts
@@ -1,8 +1,8 @@
 /**
- * Decides when a worker that announced its end has terminated. Its runs have ended then, so
- * they need not wait for their leases to expire. A refused connection alone is no proof: a
- * worker may be restarting its listener. A deregistration alone is none either: a worker
- * that gets no answer to it in time continues for a while.
+ * Decides when the runs of a worker that announced its end are stopped, and when it is no
+ * longer called. The latter says nothing about its runs: the announced end is the earliest
+ * one, a worker may work on while it refuses connections, and one that gets no answer to its
+ * deregistration continues for a while.
  */
 
 /** Time for which the worker must refuse all connections, in ms. */
@@ -11,10 +11,14 @@
 const DEREGISTERED_REFUSAL_TIME_MS = 200; // two polls
 
 export class DepartureDetector {
-  /** Earliest end that the worker announced; undefined if it is not draining. */
-  private leavesFromMs: number | undefined;
+  /**
+   * Earliest end that the worker announced, in ms of the monotonic clock; undefined if it is
+   * not draining.
+   */
+  leavesFromMs: number | undefined;
+  /** Whether the worker has deregistered and not taken that back. */
+  isDeregistered = false;
   private refusedSinceMs: number | undefined;
-  private isDeregistered = false;
 
   /** Records a heartbeat of the worker. */
   recordHeartbeat(
@@ -32,6 +36,11 @@
     this.leavesFromMs = nowMs;
   }
 
+  /** Whether the newest call found no process at the worker's address. */
+  get isRefusing(): boolean {
+    return this.refusedSinceMs !== undefined;
+  }
+
   /** Records whether a call found no process at the worker's address. */
   recordCall(isRefused: boolean, nowMs: number): void {
     if (!isRefused) this.refusedSinceMs = undefined;
--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -42,6 +42,8 @@
 const PROBE_INTERVAL_MS = 650; // three within the link timeout
 const TICK_INTERVAL_MS = 100;
 const DEPARTURE_WRITE_TIMEOUT_MS = 3000;
+/** Time for which the answer to a deregistration is held back, in ms. */
+const DEREGISTRATION_TIMEOUT_MS = 800; // a worker waits 1 s for an answer
 
 /** A crash of the worker's earlier incarnation, which its agent lived through. */
 interface PredecessorCrash {
@@ -54,6 +56,8 @@
   readonly name: string;
   readonly seedGates: readonly string[];
   readonly lease: LeaseTimes;
+  /** Longest time that a run takes to end after a stop, in ms. */
+  readonly stopMs: number;
   /** Time without a received message after which a link is closed, in ms. */
   readonly linkTimeoutMs: number;
   /** Number of links that the agent keeps beside the one to the leader. */
@@ -191,15 +195,29 @@
     void driver.verifyIncarnation();
   }
 
-  /** Records that the worker deregistered; it terminates now or a little later. */
-  recordDeregistration(workerId: string): void {
+  /**
+   * Records that the worker deregistered, and stops its runs. It terminates when it is
+   * answered, so resolves when nothing more can be learned from it.
+   *
+   * @param bornMs Start time of the incarnation that deregistered, if it is known.
+   */
+  async recordDeregistration(workerId: string, bornMs?: number): Promise<void> {
     const {driver} = this;
     this.log.logEvent('workerDeregistered', {
       id: workerId,
+      bornMs,
       known: driver?.key,
       ...driver?.facts(),
     });
-    if (driver?.id === workerId) driver.recordDeregistration();
+    const isCurrent =
+      driver?.id === workerId && (bornMs ?? driver.bornMs) === driver.bornMs;
+    if (!isCurrent) return;
+    driver.recordDeregistration();
+    const isEmptied = await driver.waitUntilEmptied(DEREGISTRATION_TIMEOUT_MS);
+    this.log.logEvent('deregistrationAnswered', {
+      worker: driver.key,
+      isEmptied,
+    });
   }
 
   /** Stops the agent but not the worker's runs; the next agent process adopts them. */
@@ -223,15 +241,13 @@
       log: logs.forComponent('worker'),
       lease: new LeaseRenewer(this.options.lease, this.contact),
       tokens: this.tokens,
+      stopMs: this.options.stopMs,
       epoch: () => this.epoch,
       onStatusChange: () => this.scheduleReport(),
       onOtherIncarnation: hasSameId =>
         this.onOtherIncarnation(driver, hasSameId),
-      onDeparture: () => {
-        if (this.driver === driver)
-          this.logConclusions(driver, RunProof.CONNECTIONS_REFUSED);
-        this.recordDeparture(driver, 'it announced its end and is not running');
-      },
+      onDeparture: () =>
+        this.recordDeparture(driver, 'it announced its end and has no runs'),
     });
     this.driver = driver;
     this.log.logEvent('workerFound', {
@@ -349,6 +365,7 @@
     this.links.update();
     const nowMs = this.ctx.clock.nowMs();
     if (this.driver?.isReachable) this.reachableAtMs = nowMs;
+    this.driver?.stopRunsIfDue();
     const {openAddresses} = this.links;
     for (const address of openAddresses) this.sendIfDue(address, nowMs);
     this.leaderSearch.tick(openAddresses.length > 0);
--- a/src/agent/run_conclusion.ts
+++ b/src/agent/run_conclusion.ts
@@ -16,8 +16,6 @@
   OTHER_INCARNATION: 'otherIncarnation',
   /** All leases that were requested have expired. */
   LEASES_EXPIRED: 'leasesExpired',
-  /** A draining worker refused connections after its announced time. */
-  CONNECTIONS_REFUSED: 'connectionsRefused',
 } as const;
 export type RunProof = (typeof RunProof)[keyof typeof RunProof];
 
--- a/src/agent/run_table.ts
+++ b/src/agent/run_table.ts
@@ -4,7 +4,11 @@
   type StartRefusal,
   type RunStatus,
 } from '../jobs/engine_messages.js';
-import {type EndedRun, type RunningTask} from '../ports/task_worker.js';
+import {
+  type EndedRun,
+  type RunRef,
+  type RunningTask,
+} from '../ports/task_worker.js';
 import {type RunConclusion, RunProof} from './run_conclusion.js';
 
 const RunPhase = {
@@ -172,6 +176,11 @@
     }));
   }
 
+  /** Runs that are not being stopped. */
+  unstoppedRuns(): RunRef[] {
+    return [...this.entries.values()].filter(e => !e.isStopping);
+  }
+
   /** Unacknowledged ends, in order of their numbers. */
   ends(): EndReport[] {
     return [...this.ended.values()].sort((a, b) => a.number - b.number);
--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -36,6 +36,10 @@
 /** Time for which a start is retried, in ms. */
 const START_RETRY_TIMEOUT_MS = 2500; // shorter than gang members wait for each other
 const RETRY_DELAY_MS = 100;
+/** Time for which a run has to have ended before its end is certainly listed, in ms. */
+const LISTING_TIME_MS = 300; // an agent tick, and two calls to a busy worker
+/** Interval of the checks whether all runs of a worker are over, in ms. */
+const EMPTIED_CHECK_INTERVAL_MS = 20;
 /** Time without an answer after which the worker gets no new runs, in ms. */
 const UNREACHABLE_AFTER_MS = 2500; // longer than one poll including its timeout
 
@@ -75,13 +79,15 @@
   readonly metrics: Metrics;
   readonly lease: LeaseRenewer;
   readonly tokens: FencingTokens;
+  /** Longest time that a run takes to end after a stop, in ms. */
+  readonly stopMs: number;
   /** Highest leadership epoch received by the agent; 0 before the first. */
   readonly epoch: () => number;
   /** Called on a change that must be reported to the leader immediately. */
   readonly onStatusChange: () => void;
   /** Called when another incarnation answers at the worker's address. */
   readonly onOtherIncarnation: (hasSameId: boolean) => void;
-  /** Called when the worker has terminated as it had announced. */
+  /** Called when the worker has left as it had announced, and none of its runs can continue. */
   readonly onDeparture: () => void;
 }
 
@@ -98,6 +104,7 @@
   private workerClock: {clockMs: number; receivedAtMs: number} | undefined;
   private isClosed = false;
   private isExpiryReported = false;
+  private isUnprovenEndLogged = false;
   private hasRunLists = false;
   /** Number of unanswered renewals since the last answered one. */
   private consecutiveUnansweredCalls = 0;
@@ -134,6 +141,40 @@
 
   recordDeregistration(): void {
     this.departure.recordDeregistration(this.ctx.clock.nowMs());
+    this.stopRunsIfDue();
+  }
+
+  /**
+   * Stops the runs shortly before the worker may leave, so that their ends and checkpoints
+   * are listed while it still answers. Otherwise their tasks would wait for the leases.
+   */
+  stopRunsIfDue(): void {
+    const {clock, stopMs, log} = this.ctx;
+    const {leavesFromMs} = this.departure;
+    if (leavesFromMs === undefined) return;
+    if (clock.nowMs() < leavesFromMs - stopMs - LISTING_TIME_MS) return;
+    const runs = this.table.unstoppedRuns();
+    if (runs.length === 0) return;
+    log.logEvent('leavingRunsStopped', {worker: this.key, ...this.facts()});
+    for (const {task, run} of runs)
+      void this.stop({type: 'stop', worker: this.key, task, run});
+  }
+
+  /**
+   * Waits until all runs are proven to be over, but no longer than `timeoutMs` nor than the
+   * worker answers. Resolves with whether they are.
+   */
+  async waitUntilEmptied(timeoutMs: number): Promise<boolean> {
+    const {clock} = this.ctx;
+    const untilMs = clock.nowMs() + timeoutMs;
+    while (
+      !this.isEmptied &&
+      !this.isClosed &&
+      !this.departure.isRefusing &&
+      clock.nowMs() < untilMs
+    )
+      await sleep(EMPTIED_CHECK_INTERVAL_MS);
+    return this.isEmptied;
   }
 
   get id(): string {
@@ -154,7 +195,7 @@
    * have crashed under its runs. To be asked once another incarnation has taken its place.
    */
   get crashedAtMs(): number | undefined {
-    if (this.report.draining || this.isExpiryReported) return undefined;
+    if (this.isLeaving || this.isExpiryReported) return undefined;
     return this.crash.crashedAtMs;
   }
 
@@ -301,11 +342,11 @@
   ): Promise<StartReply | UnsentStart> {
     const {worker, clock, lease, log, metrics} = this.ctx;
     const startMs = clock.nowMs();
-    if (this.report.draining || !this.isReachable) return 'noLease';
+    if (this.isLeaving || !this.isReachable) return 'noLease';
     if (hasShrunkSince(order, this.report)) return 'workerShrunk';
     // A start must not reach a later incarnation before the agent knows of that one.
     if (this.isSilent) return {type: 'unreachable'};
-    const leaseUntilMs = lease.nextLeaseUntilMs(readClocks(this.ctx.clock));
+    const leaseUntilMs = lease.nextLeaseUntilMs(readClocks(clock));
     if (leaseUntilMs === undefined) return 'noLease';
     this.recordLeaseRequest(leaseUntilMs);
     const epoch = this.ctx.epoch();
@@ -425,7 +466,26 @@
     if (!isSilent && silentCalls > 0)
       log.logEvent('workerResponsive', {worker: this.key, silentCalls});
     this.departure.recordCall(type === 'refused', nowMs);
-    if (!this.isClosed && this.departure.hasLeft(nowMs)) onDeparture();
+    if (this.isClosed || !this.departure.hasLeft(nowMs)) return;
+    if (this.isEmptied || this.isExpiryReported) onDeparture();
+    else this.logUnprovenEnd();
+  }
+
+  /** Whether the worker has announced its end, so that it gets no new runs. */
+  private get isLeaving(): boolean {
+    return this.report.draining || this.departure.isDeregistered;
+  }
+
+  /** Whether each run on the leaving worker has been proven to be over. */
+  private get isEmptied(): boolean {
+    return this.isLeaving && this.hasRunLists && this.table.isEmpty;
+  }
+
+  /** Logs once that a worker seems to have left, but its runs may continue. */
+  private logUnprovenEnd(): void {
+    if (this.isUnprovenEndLogged) return;
+    this.isUnprovenEndLogged = true;
+    this.ctx.log.logEvent('leasesAwaited', {worker: this.key, ...this.facts()});
   }
 
   /**
--- a/tests/features/run_conclusions.feature
+++ b/tests/features/run_conclusions.feature
@@ -108,6 +108,17 @@
     Then all jobs are completed
     And no invariant of runs is violated
 
+  # Guards against refused connections that count as the end of runs which could not be stopped.
+  Scenario: A draining worker refuses connections before its runs are stopped and works on
+    Given leases last 5000 ms
+    And 1 gates and 1 agents whose tasks run 8000 ms
+    When 1 jobs of 1 tasks are submitted
+    And 1 tasks are running
+    And another agent joins
+    And the worker drains, and 1000 ms later refuses connections for 3500 ms but works on
+    Then all jobs are completed
+    And no invariant of runs is violated
+
   # Guards against a refusal of a few polls that counts as the end of a worker that works on.
   Scenario: A worker gets no answer to its call to deregister, refuses connections for a moment and works on
     Given leases last 5000 ms
--- a/tests/features/run_ends.feature
+++ b/tests/features/run_ends.feature
@@ -84,6 +84,17 @@
     Then all jobs are completed
     And no invariant of runs is violated
 
+  # Guards against work that waits for the leases of a worker that leaves when it announced.
+  Scenario: A worker drains and terminates without a word
+    Given leases last 120000 ms
+    And 1 gates and 1 agents whose tasks run 3000 ms
+    When 1 jobs of 1 tasks are submitted
+    And 1 tasks are running
+    And another agent joins
+    And the worker drains and terminates without a word at its announced end
+    Then all jobs are completed
+    And no invariant of runs is violated
+
   # Guards against leases of the previous agent process that the next one does not wait for.
   Scenario: A worker falls silent after the first call of an agent that restarted without a leader
     Given leases last 5000 ms
--- a/tests/steps/processor_load_steps.ts
+++ b/tests/steps/processor_load_steps.ts
@@ -88,6 +88,7 @@
       new LeaderContact(),
     ),
     tokens: new FencingTokens(clock),
+    stopMs: 500,
     epoch: () => 0,
     onStatusChange: () => undefined,
     onOtherIncarnation: () => undefined,
--- a/tests/steps/run_conclusion_steps.ts
+++ b/tests/steps/run_conclusion_steps.ts
@@ -377,6 +377,7 @@
         seedGates: [address],
         standbyLinks: 1,
         lease: {leaseMs: 1500, isolationMs: 2500},
+        stopMs: 500,
         linkTimeoutMs: 1000,
       },
       {
@@ -462,7 +463,7 @@
     firstAgent().isDraining = true;
     await sleep(DRAIN_NOTICE_MS);
     runningCluster().delayHeartbeats(firstAgent(), Infinity);
-    firstAgent().agent.recordDeregistration(firstAgent().worker.id);
+    void firstAgent().agent.recordDeregistration(firstAgent().worker.id);
     await refuseConnections(refusalMs);
   },
 );
--- a/tests/steps/run_end_steps.ts
+++ b/tests/steps/run_end_steps.ts
@@ -91,6 +91,12 @@
   (afterMs: number) => runningCluster().deregisterWorker(firstAgent(), afterMs),
 );
 
+When(
+  'the worker drains and terminates without a word at its announced end',
+  {timeout: STEP_TIMEOUT_MS},
+  () => runningCluster().reclaimWorker(firstAgent()),
+);
+
 When('the agent is restarted and gets one answer of the worker', async () => {
   firstAgent().worker.faults.renewalsUntilUnresponsive = 1;
   await runningCluster().restartAgent(firstAgent());
--- a/tests/steps/run_log_steps.ts
+++ b/tests/steps/run_log_steps.ts
@@ -180,6 +180,7 @@
       seedGates: [],
       standbyLinks: 0,
       lease: {leaseMs: 1500, isolationMs: 2500},
+      stopMs: 500,
       linkTimeoutMs: 1000,
     },
     {
--- a/tests/steps/worker_capacity_steps.ts
+++ b/tests/steps/worker_capacity_steps.ts
@@ -319,6 +319,7 @@
       metrics: new Metrics(),
       lease: new LeaseRenewer(LEASE, contact),
       tokens: new FencingTokens(clock),
+      stopMs: 500,
       epoch: () => 1,
       onStatusChange: () => undefined,
       onOtherIncarnation: () => undefined,
