Ends that a leaving worker listed are not lost with its agent or its leader

Cause: an agent let ends go too early. And it dropped ends that it had read with the worker that listed them: neither the report of a lost worker nor the stored departure named them, so a leader that had not committed them, or its successor, took the runs for lost.

Evidence: the model of worker lives found the second way once refusalIsNoEnd was a rule: a done run, listed and not reported, is ended as lost by the departure.

Change: the departure row and each report of a lost worker carry the ends that no leader has acknowledged; a leader records them before it takes the other runs there for lost, and before a crash is judged. The row is stored before a deregistration is answered, and the report is repeated until the ends are acknowledged.

--- a/spec/worker_life_model.ts
+++ b/spec/worker_life_model.ts
@@ -23,10 +23,14 @@
   readonly acksWaitForLateStarts: boolean;
   /** Nothing is started while a late acknowledgement may still arrive. */
   readonly startsWaitForLateAcks: boolean;
-  /** A worker that deregistered counts as ended only once it refuses connections. */
+  /** A worker that deregistered counts as ended only once it does not answer. */
   readonly farewellIsNoEnd: boolean;
+  /** A worker that deregistered and does not answer may still have the runs in the table. */
+  readonly refusalIsNoEnd: boolean;
   /** A repeated order may have been carried out for a previous agent process. */
   readonly repeatedOrderMayHaveStarted: boolean;
+  /** An agent that stores the end of a worker stores the ends that it has listed, too. */
+  readonly departureKeepsEnds: boolean;
   /** A restarted agent assumes that its predecessor requested a full lease. */
   readonly restartedAgentAssumesFullLease: boolean;
   /** A lease counts as expired only when a late start can no longer prolong it. */
@@ -50,6 +54,8 @@
   acksWaitForLateStarts: true,
   startsWaitForLateAcks: true,
   farewellIsNoEnd: true,
+  refusalIsNoEnd: true,
+  departureKeepsEnds: true,
   repeatedOrderMayHaveStarted: true,
   restartedAgentAssumesFullLease: true,
   expiryCoversLateStarts: true,
@@ -559,12 +565,16 @@
 function recordEndStep(state: S, end: EndState): Step<S> {
   return {
     label: `the leader records the end of run ${end.run}`,
-    next: end.isDone
-      ? withRecord(state, {phase: Phase.DONE})
-      : endRecordedRun(state),
+    next: recordEnd(state, end),
   };
 }
 
+function recordEnd(state: S, {isDone}: EndState): S {
+  return isDone
+    ? withRecord(state, {phase: Phase.DONE})
+    : endRecordedRun(state);
+}
+
 function orderSteps(state: S, rules: WorkerLifeRules): Step<S>[] {
   const {record, agent} = state;
   const {run, isOrdered} = record;
@@ -712,7 +722,9 @@
   const isKnown = agent.incarnation === process.incarnation;
   const received = isKnown ? withAgent(state, {hasFarewell: true}) : state;
   const next =
-    isKnown && !rules.farewellIsNoEnd ? recordDeparture(received) : received;
+    isKnown && !rules.farewellIsNoEnd
+      ? recordDeparture(received, rules)
+      : received;
   return [
     {label: 'the worker deregisters and ends', next: endProcess(next)},
     {
@@ -722,12 +734,25 @@
   ];
 }
 
+/** Whether a worker that deregistered and refuses connections may be dropped. */
+function mayConcludeDeparture(state: S, rules: WorkerLifeRules): boolean {
+  const {agent, record} = state;
+  if (isWithheld(state, record.run, rules)) return false;
+  const isEmptied = agent.hasList && agent.entries.length === 0;
+  return isEmptied || !rules.refusalIsNoEnd;
+}
+
 /** The agent stores the end of its worker, and the leader ends the runs there. */
-function recordDeparture(state: S): S {
-  const {incarnation} = state.agent;
+function recordDeparture(state: S, rules: WorkerLifeRules): S {
+  const {record, agent} = state;
+  const {incarnation} = agent;
   const departed = {...discardWorker(state), departed: incarnation};
   const next = {...state, agent: departed};
-  return isRecordedOn(state, incarnation) ? endRecordedRun(next) : next;
+  if (!isRecordedOn(state, incarnation)) return next;
+  const end = agent.ends.find(e => e.run === record.run);
+  return end && rules.departureKeepsEnds
+    ? recordEnd(next, end)
+    : endRecordedRun(next);
 }
 
 function discardWorker({agent}: S): AgentState {
@@ -755,11 +780,10 @@
         rules,
       ),
     });
-  const {run} = state.record;
-  if (agent.hasFarewell && !process.isUp && !isWithheld(state, run, rules))
+  if (agent.hasFarewell && !answers && mayConcludeDeparture(state, rules))
     steps.push({
       label: 'the agent finds that the worker has left',
-      next: recordDeparture(state),
+      next: recordDeparture(state, rules),
     });
   if (agent.hasList && !answers && agent.lost === 0)
     steps.push(leaseExpiryStep(state, rules));
--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -8,7 +8,10 @@
   leaderAddressOf,
   rowKeys,
 } from '../jobs/job_rows.js';
-import {type WorkerCrash} from '../jobs/engine_messages.js';
+import {
+  type AcknowledgeOrder,
+  type WorkerCrash,
+} from '../jobs/engine_messages.js';
 import {type WorkerReport, workerKey} from '../jobs/worker_pool.js';
 import {type ComponentLog, type EventLog} from '../plugins/event_log.js';
 import {LoopDelayMonitor} from '../plugins/loop_delay_monitor.js';
@@ -19,12 +22,12 @@
   type GateAnswer,
   type GateJobMessage,
   type GateOrders,
-  type LostWorker,
 } from '../protocol/job_messages.js';
 import {type GateDialer} from './gate_dialer.js';
 import {FencingTokens} from './fencing_tokens.js';
 import {GateDirectory} from './gate_directory.js';
 import {GateLinks} from './gate_links.js';
+import {LostWorkerReport} from './lost_worker_report.js';
 import {LeaderSearch} from './leader_search.js';
 import {
   LeaderContact,
@@ -84,17 +87,15 @@
   /** Clock readings at the sending of recent reports, by `sentAtMs`. */
   private readonly reportSendTimes = new Map<number, ClockReading>();
   private driver: WorkerDriver | undefined;
-  /**
-   * The most recently lost worker. It is included in every report until a worker is
-   * reachable again, because a leader may terminate before it records the loss.
-   */
-  private lost: LostWorker | undefined;
+  private readonly lostWorker = new LostWorkerReport();
   /** Newest heartbeat of an incarnation other than the driver's. */
   private otherIncarnation: WorkerReport | undefined;
   /** The crash that ended the predecessor of the worker, if one did. */
   private crash: PredecessorCrash | undefined;
   /** Key of the worker that terminated last; late heartbeats of it are ignored. */
   private departedWorker: string | undefined;
+  /** Key of the worker whose departure was stored last. */
+  private storedDeparture: string | undefined;
   /** Key of the incarnation whose late heartbeat was logged last. */
   private otherHeartbeatLogged: string | undefined;
   /** When a worker was last reachable; first the start of the process. */
@@ -213,13 +214,28 @@
       driver?.id === workerId && (bornMs ?? driver.bornMs) === driver.bornMs;
     if (!isCurrent) return;
     driver.recordDeregistration();
-    const isEmptied = await driver.waitUntilEmptied(DEREGISTRATION_TIMEOUT_MS);
+    const isEmptied = await this.settleRuns(driver);
     this.log.logEvent('deregistrationAnswered', {
       worker: driver.key,
       isEmptied,
     });
   }
 
+  /**
+   * Waits until the worker has no runs, and stores its departure: later neither the worker
+   * nor this process may be there to report the ends. Resolves with whether it has none.
+   */
+  private async settleRuns(driver: WorkerDriver): Promise<boolean> {
+    const {clock} = this.ctx;
+    const untilMs = clock.nowMs() + DEREGISTRATION_TIMEOUT_MS;
+    const isEmptied = await driver.waitUntilEmptied(DEREGISTRATION_TIMEOUT_MS);
+    const leftMs = untilMs - clock.nowMs();
+    const isStored = this.storedDeparture === driver.key;
+    if (isEmptied && !isStored && leftMs > 0)
+      await this.storeDeparture(driver, leftMs);
+    return isEmptied;
+  }
+
   /** Stops the agent but not the worker's runs; the next agent process adopts them. */
   async stop(): Promise<void> {
     clearInterval(this.ticker);
@@ -328,38 +344,59 @@
     this.crash = undefined;
     this.log.logEvent('workerLeft', {worker: driver.key, reason});
     this.departedWorker = driver.key;
+    if (this.storedDeparture !== driver.key)
+      void this.storeDeparture(driver, DEPARTURE_WRITE_TIMEOUT_MS);
     this.discardDriver(driver, reason);
-    void this.storeDeparture(driver.key);
   }
 
   /**
-   * Stores that a worker has terminated. There may be no leader at present, and this
-   * process may end with its instance before there is one.
+   * Stores that a worker has terminated, and the ends that it listed. There may be no leader
+   * at present, and this process may end with its instance before there is one.
    */
-  private async storeDeparture(worker: string): Promise<void> {
-    const value = encodeDeparture(this.ctx.clock.wallMs());
+  private async storeDeparture(
+    {key: worker, unacknowledgedEnds: ends}: WorkerDriver,
+    timeoutMs: number,
+  ): Promise<void> {
+    const value = encodeDeparture({
+      writtenWallMs: this.ctx.clock.wallMs(),
+      ends,
+    });
     const result = await this.ctx.store.transact(
       {
         expect: [],
         put: [{key: rowKeys.departure(worker), value}],
         remove: [],
       },
-      DEPARTURE_WRITE_TIMEOUT_MS,
+      timeoutMs,
     );
-    this.log.logEvent('departureStored', {worker, result: result.type});
+    if (result.type === 'committed') this.storedDeparture = worker;
+    this.log.logEvent('departureStored', {
+      worker,
+      result: result.type,
+      ends: ends.length,
+    });
   }
 
   private discardDriver(driver: WorkerDriver, reason: string): void {
     driver.close();
     this.driver = undefined;
-    this.reportLostWorker({worker: driver.key, reason});
+    this.reportLostWorker(driver, reason);
   }
 
-  private reportLostWorker(lost: LostWorker): void {
-    this.lost = lost;
+  private reportLostWorker(
+    {key: worker, unacknowledgedEnds: ends}: WorkerDriver,
+    reason: string,
+  ): void {
+    this.lostWorker.record({worker, reason, ends});
     this.report(this.leaderAddress);
   }
 
+  /** Records that ends up to `upTo` are durable. */
+  private acknowledge({worker, upTo}: AcknowledgeOrder): void {
+    if (worker === this.driver?.key) this.driver.acknowledge(upTo);
+    this.lostWorker.acknowledge(worker, upTo);
+  }
+
   private tick(): void {
     this.loopDelay.recordTick();
     this.links.update();
@@ -372,10 +409,7 @@
     if (this.driver?.takeLeaseExpiry()) {
       this.log.logEvent('leasesLapsed', {worker: this.driver.key});
       this.logConclusions(this.driver, RunProof.LEASES_EXPIRED);
-      this.reportLostWorker({
-        worker: this.driver.key,
-        reason: 'all leases ran out',
-      });
+      this.reportLostWorker(this.driver, 'all leases ran out');
     }
   }
 
@@ -421,7 +455,8 @@
     const inventory = this.driver?.isReachable
       ? this.driver.inventory()
       : undefined;
-    if (inventory) this.lost = undefined;
+    if (this.driver && inventory)
+      this.lostWorker.recordReachable(this.driver.key);
     this.links.send(address, {
       type: 'report',
       agent: this.options.name,
@@ -429,7 +464,7 @@
       epoch: this.epoch,
       inventory,
       refusals: this.driver?.takeRefusals() ?? [],
-      lost: this.lost,
+      lost: this.lostWorker.current,
       hasNoRuns: !inventory && this.hasNoRuns(sendTime.nowMs),
       crash: this.crashToReport(sendTime.nowMs, inventory !== undefined),
     });
@@ -496,13 +531,16 @@
     if (message.epoch > this.epoch) this.recordLeader(message.epoch, address);
     const {driver} = this;
     for (const order of message.orders) {
+      if (order.type === 'acknowledge') {
+        this.acknowledge(order);
+        continue;
+      }
       if (order.worker !== driver?.key) {
         this.log.logEvent('orderForOtherWorker', {worker: order.worker});
         continue;
       }
       if (order.type === 'start') void driver.start(order);
-      else if (order.type === 'stop') void driver.stop(order);
-      else driver.acknowledge(order.upTo);
+      else void driver.stop(order);
     }
   }
 
--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -3,6 +3,7 @@
 import {type Clock} from '../core/clock.js';
 import {readClocks} from '../core/clock_reading.js';
 import {
+  type EndReport,
   type WorkerInventory,
   type StartOrder,
   type StopOrder,
@@ -209,6 +210,11 @@
     };
   }
 
+  /** Ends that the worker listed and that no leader has acknowledged. */
+  get unacknowledgedEnds(): readonly EndReport[] {
+    return this.table.ends();
+  }
+
   takeRefusals(): ReturnType<RunTable['takeRefusals']> {
     return this.table.takeRefusals();
   }
--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -322,8 +322,8 @@
         engine.cancelJob(kind.job, nowMs);
     } else if (kind.kind === 'cancel') engine.cancelJob(kind.job, nowMs);
     else if (kind.kind === 'departure') {
-      if (this.jobIndex.departures.has(kind.worker))
-        engine.recordDeparture(kind.worker, nowMs);
+      const departure = this.jobIndex.departures.get(kind.worker);
+      if (departure) engine.recordDeparture(kind.worker, departure.ends, nowMs);
     } else return;
     this.leaderRole.scheduleFlush();
   }
@@ -342,7 +342,9 @@
     const nowMs = this.ctx.clock.nowMs();
     const {inventory, agent, refusals, lost, hasNoRuns, crash} = report;
     for (const refusal of refusals) engine.recordRefusal(refusal, nowMs);
-    // Recorded first, since what follows ends the runs on the worker without blame.
+    // Known ends come first, since what follows takes the other runs there for lost.
+    if (lost?.ends) engine.recordEnds(agent, lost.worker, lost.ends, nowMs);
+    // A crash comes before the loss, which ends the runs on the worker without blame.
     if (crash) engine.recordCrash(agent, crash, inventory, nowMs);
     if (lost)
       engine.markWorkerLost(
@@ -377,7 +379,9 @@
   /** Rows about workers that terminated so long ago that no run is recorded there. */
   private expiredDepartures(wallMs: number): string[] {
     return [...this.jobIndex.departures]
-      .filter(([, writtenMs]) => wallMs - writtenMs > DEPARTURE_MAX_AGE_MS)
+      .filter(
+        ([, {writtenWallMs}]) => wallMs - writtenWallMs > DEPARTURE_MAX_AGE_MS,
+      )
       .slice(0, MAX_REMOVED_DEPARTURES)
       .map(([worker]) => rowKeys.departure(worker));
   }
--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -169,8 +169,8 @@
       this.loadJob(id, entry, nowMs, wallMs);
     for (const key of this.placedByWorker.keys())
       this.lastContactMs.set(agentOf(key), nowMs);
-    for (const key of jobIndex.departures.keys())
-      this.recordDeparture(key, nowMs);
+    for (const [key, {ends}] of jobIndex.departures)
+      this.recordDeparture(key, ends, nowMs);
     this.preemptsFromMs = nowMs + PREEMPTION_DELAY_MS;
   }
 
@@ -193,9 +193,14 @@
     this.log({event: 'jobCancelled', job: id});
   }
 
-  /** Records that a worker terminated, as its agent stored. */
-  recordDeparture(key: string, nowMs: number): void {
+  /** Records that a worker terminated after these ends, as its agent stored. */
+  recordDeparture(
+    key: string,
+    ends: readonly EndReport[],
+    nowMs: number,
+  ): void {
     this.departedWorkers.add(key);
+    this.recordEnds(agentOf(key), key, ends, nowMs);
     this.markWorkerLost(
       key,
       'its agent stored that it terminated',
--- a/src/jobs/job_index.ts
+++ b/src/jobs/job_index.ts
@@ -6,6 +6,7 @@
 import {type StoredRow} from '../ports/state_store.js';
 import {type JobSpec, JobState, type Resources} from './job.js';
 import {
+  type DepartureRow,
   type JobResult,
   type RowKind,
   type TaskRecord,
@@ -47,8 +48,8 @@
   readonly jobs = new Map<string, JobEntry>();
   /** Largest worker capacities of each service, as the leader stored them. */
   readonly capacities = new Map<string, readonly Resources[]>();
-  /** Keys of terminated workers, with the wall time in ms at which that was stored. */
-  readonly departures = new Map<string, number>();
+  /** Terminated workers by their keys, as their agents stored them. */
+  readonly departures = new Map<string, DepartureRow>();
 
   /** State of a job; undefined when there is none. */
   stateOf(id: string): JobState | undefined {
--- a/src/jobs/job_rows.ts
+++ b/src/jobs/job_rows.ts
@@ -3,7 +3,9 @@
 import * as z from 'zod';
 import {ProtocolError} from '../core/errors.js';
 import {pickByRendezvous} from '../core/rendezvous.js';
+import {RunEndKind} from '../ports/task_worker.js';
 import {type CrashCounts, NO_CRASHES} from './crash_suspects.js';
+import {type EndReport} from './engine_messages.js';
 import {type JobSpec, type Resources} from './job.js';
 
 /** State of a task as stored. */
@@ -309,16 +311,35 @@
   return decode('capacities', value, capacitiesSchema);
 }
 
-const departureSchema = z.object({writtenWallMs: z.number()});
+/** The row in which an agent records that its worker has terminated. */
+export interface DepartureRow {
+  readonly writtenWallMs: number;
+  /** Ends that the worker listed and that no leader is known to have recorded. */
+  readonly ends: readonly EndReport[];
+}
+
+const departureSchema = z.object({
+  writtenWallMs: z.number(),
+  // Absent in rows of earlier versions.
+  ends: z
+    .array(
+      z.object({
+        number: z.number(),
+        task: z.string(),
+        run: z.number(),
+        kind: z.enum(Object.values(RunEndKind)),
+        checkpoint: z.string(),
+      }),
+    )
+    .default([]),
+});
 
-/** Encodes the row in which an agent records that its worker has terminated. */
-export function encodeDeparture(writtenWallMs: number): Uint8Array {
-  return packr.pack({writtenWallMs});
+export function encodeDeparture(departure: DepartureRow): Uint8Array {
+  return packr.pack(departure);
 }
 
-/** Returns when the row was written, in ms since the Unix epoch. */
-export function decodeDeparture(value: Uint8Array): number {
-  return decode('departure', value, departureSchema).writtenWallMs;
+export function decodeDeparture(value: Uint8Array): DepartureRow {
+  return decode('departure', value, departureSchema);
 }
 
 /** Encodes the cancellation row; its version decides if it preceded the job's end. */
--- a/src/protocol/job_messages.ts
+++ b/src/protocol/job_messages.ts
@@ -1,6 +1,7 @@
 /** Messages about jobs between gates and agents. All durations are in milliseconds. */
 import * as z from 'zod';
 import {
+  type EndReport,
   type WorkerCrash,
   type WorkerInventory,
   type Order,
@@ -32,6 +33,14 @@
   drainRemainingMs: z.number(),
 });
 
+const endSchema: z.ZodType<EndReport> = z.object({
+  number: nonNegativeInteger,
+  task: boundedText,
+  run: nonNegativeInteger,
+  kind: z.enum(Object.values(RunEndKind)),
+  checkpoint: boundedText,
+});
+
 const inventorySchema: z.ZodType<WorkerInventory> = z.object({
   worker: workerReportSchema,
   runs: z.array(
@@ -43,15 +52,7 @@
       percent: z.number(),
     }),
   ),
-  ends: z.array(
-    z.object({
-      number: nonNegativeInteger,
-      task: boundedText,
-      run: nonNegativeInteger,
-      kind: z.enum(Object.values(RunEndKind)),
-      checkpoint: boundedText,
-    }),
-  ),
+  ends: z.array(endSchema),
 });
 
 const refusalSchema: z.ZodType<StartRefusal> = z.object({
@@ -90,6 +91,8 @@
   readonly worker: string;
   /** Cause in free text, for the log. */
   readonly reason: string;
+  /** Ends that it listed and that no leader has acknowledged. */
+  readonly ends?: readonly EndReport[];
 }
 
 /** Heartbeat of an agent, with the full state of its worker. */
@@ -103,7 +106,10 @@
   /** Absent while the worker cannot be reached. */
   readonly inventory?: WorkerInventory;
   readonly refusals: readonly StartRefusal[];
-  /** The most recently lost worker, reported until a worker can be reached. */
+  /**
+   * The most recently lost worker, reported until a worker can be reached and its ends have
+   * been acknowledged.
+   */
   readonly lost?: LostWorker;
   /** No incarnation of the worker has answered for longer than its leases last. */
   readonly hasNoRuns?: boolean;
@@ -133,7 +139,13 @@
       epoch: nonNegativeInteger,
       inventory: inventorySchema.optional(),
       refusals: z.array(refusalSchema),
-      lost: z.object({worker: boundedText, reason: boundedText}).optional(),
+      lost: z
+        .object({
+          worker: boundedText,
+          reason: boundedText,
+          ends: z.array(endSchema).optional(),
+        })
+        .optional(),
       hasNoRuns: z.boolean().optional(),
       crash: z
         .object({worker: boundedText, sinceMs: z.number().min(0)})
--- a/standins/task_worker.ts
+++ b/standins/task_worker.ts
@@ -164,6 +164,15 @@
     setTimeout(() => (this.isDown = false), CRASH_DOWN_MS);
   }
 
+  /** Ends all runs as done before their time. */
+  finishRuns(): void {
+    for (const run of [...this.runs.values()]) this.end(run, RunEndKind.DONE);
+  }
+
+  get hasUnacknowledgedEnds(): boolean {
+    return this.unacknowledgedEnds.length > 0;
+  }
+
   /** Ends all runs without listing their ends; later calls are refused. */
   terminate(): void {
     this.faults.isTerminated = true;
--- a/tests/features/run_ends.feature
+++ b/tests/features/run_ends.feature
@@ -95,6 +95,40 @@
     Then all jobs are completed
     And no invariant of runs is violated
 
+  # Guards against an end that the agent has not read when it answers the deregistration.
+  Scenario: A worker ends a run just before it deregisters
+    Given 1 gates and 1 agents whose tasks run 6000 ms
+    When 1 jobs of 1 tasks are submitted
+    And 1 tasks are running
+    And another agent joins
+    And the worker drains, ends its run, deregisters and terminates when it is answered
+    Then all jobs are completed
+    And no task was started twice
+
+  # Guards against an end that only the agent knows when the worker and its instance are gone.
+  Scenario: A worker ends a run just before it deregisters, while there is no leader
+    Given another gate takes over only after 3000 ms
+    And 2 gates and 1 agents whose tasks run 6000 ms
+    When 1 jobs of 1 tasks are submitted
+    And 1 tasks are running
+    And another agent joins
+    And the leader crashes
+    And the worker drains, ends its run, deregisters and terminates when it is answered
+    And its agent terminates
+    Then all jobs are completed
+    And no task was started twice
+
+  # Guards against a listed end that is forgotten with the incarnation that listed it.
+  Scenario: A worker lists the end of a run and crashes while there is no leader
+    Given another gate takes over only after 3000 ms
+    And 2 gates and 1 agents whose tasks run 800 ms
+    When 1 jobs of 1 tasks are submitted
+    And 1 tasks are running
+    And the leader crashes
+    And the worker has listed the end of its run and crashes
+    Then all jobs are completed
+    And no task was started twice
+
   # Guards against leases of the previous agent process that the next one does not wait for.
   Scenario: A worker falls silent after the first call of an agent that restarted without a leader
     Given leases last 5000 ms
--- a/tests/steps/departure_steps.ts
+++ b/tests/steps/departure_steps.ts
@@ -58,7 +58,11 @@
 Given('a new leader that read that a worker left', () => {
   const jobIndex = new JobIndex();
   const key = rowKeys.departure(DEPARTED_KEY);
-  const row = {key, value: encodeDeparture(0), version: 1};
+  const row = {
+    key,
+    value: encodeDeparture({writtenWallMs: 0, ends: []}),
+    version: 1,
+  };
   jobIndex.apply(parseRowKey(key)!, row);
   engine = new JobEngine(TEST_TABLES, {
     contactTimeoutMs: 10_000,
--- a/tests/steps/run_end_steps.ts
+++ b/tests/steps/run_end_steps.ts
@@ -97,6 +97,32 @@
   () => runningCluster().reclaimWorker(firstAgent()),
 );
 
+When(
+  'the worker drains, ends its run, deregisters and terminates when it is answered',
+  {timeout: STEP_TIMEOUT_MS},
+  () => runningCluster().finishAndDeregister(firstAgent()),
+);
+
+When('its agent terminates', () =>
+  runningCluster().terminateAgent(firstAgent()),
+);
+
+When(
+  'the worker has listed the end of its run and crashes',
+  {timeout: STEP_TIMEOUT_MS},
+  async () => {
+    const {worker} = firstAgent();
+    const cluster = runningCluster();
+    await cluster.until('a run ends', () => worker.hasUnacknowledgedEnds);
+    const {answeredRenewals} = worker;
+    await cluster.until(
+      'the agent gets a list that was requested after that',
+      () => worker.answeredRenewals > answeredRenewals + 1,
+    );
+    worker.crash();
+  },
+);
+
 When('the agent is restarted and gets one answer of the worker', async () => {
   firstAgent().worker.faults.renewalsUntilUnresponsive = 1;
   await runningCluster().restartAgent(firstAgent());
