Evacuation of a data centre: nothing is started there until the request is removed

Operators ask for it with the row evacuate/NAME in their table.

The leader takes workers of an evacuated data centre for no candidates: not for placement, preemption, holds, moves or repeated orders, and withdraws placements that were not committed yet. Agents check each attempt of a start against what gates tell them, with the age of the gate's copy of the table, so an order that was sent before the request, or by a leader that is cut off, starts nothing later than the bound. Both clocks count, so a suspended gate can't pass an old copy for a new one. The age is checked only where the settings contain the bound.

--- a/harness/load_simulation.ts
+++ b/harness/load_simulation.ts
@@ -230,6 +230,7 @@
     return new SimulatedWorker(`a${index}`, {
       id: `w${index}`,
       bornMs: 1,
+      dataCentre: 'dc1',
       service: this.options.queues[0].service,
       rack,
       labels: ['a', rack],
--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -12,6 +12,7 @@
   type AcknowledgeOrder,
   type WorkerCrash,
 } from '../jobs/engine_messages.js';
+import {EvacuationKnowledge, maxNoticeAgeMs} from '../jobs/evacuations.js';
 import {type WorkerReport, workerKey} from '../jobs/worker_pool.js';
 import {type ComponentLog, type EventLog} from '../plugins/event_log.js';
 import {LoopDelayMonitor} from '../plugins/loop_delay_monitor.js';
@@ -61,6 +62,11 @@
   readonly lease: LeaseTimes;
   /** Longest time that a run takes to end after a stop, in ms. */
   readonly stopMs: number;
+  /**
+   * Longest time from the request to evacuate a data centre to the last start there, in ms;
+   * undefined where none is agreed.
+   */
+  readonly evacuationMs?: number;
   /** Time without a received message after which a link is closed, in ms. */
   readonly linkTimeoutMs: number;
   /** Number of links that the agent keeps beside the one to the leader. */
@@ -81,6 +87,7 @@
   private readonly links: GateLinks;
   private readonly contact = new LeaderContact();
   private readonly tokens: FencingTokens;
+  private readonly evacuations: EvacuationKnowledge;
   private readonly leaderSearch: LeaderSearch;
   private readonly log: ComponentLog;
   private readonly loopDelay: LoopDelayMonitor;
@@ -120,6 +127,9 @@
       log: this.log,
     });
     this.tokens = new FencingTokens(clock);
+    this.evacuations = new EvacuationKnowledge(
+      options.evacuationMs && maxNoticeAgeMs(options.evacuationMs),
+    );
     this.reachableAtMs = clock.nowMs();
     this.directory = new GateDirectory(
       options.name,
@@ -257,6 +267,7 @@
       log: logs.forComponent('worker'),
       lease: new LeaseRenewer(this.options.lease, this.contact),
       tokens: this.tokens,
+      evacuations: this.evacuations,
       stopMs: this.options.stopMs,
       epoch: () => this.epoch,
       onStatusChange: () => this.scheduleReport(),
@@ -484,12 +495,28 @@
     const sentAt = this.reportSendTimes.get(message.sentAtMs);
     this.pruneSendTimes(message.sentAtMs);
     if (message.gates) this.directory.addAddresses(message.gates);
+    this.recordEvacuations(message, sentAt);
     if (message.epoch < this.epoch) return;
     this.recordLeader(message.epoch, message.leaderAddress);
     if (message.leads) this.onLeaderAnswer(address, message, sentAt);
     else if (this.leaderAddress === address) this.leaderAddress = undefined;
   }
 
+  /** Records what any gate, whether it leads or not, knows of evacuations. */
+  private recordEvacuations(
+    {evacuations}: GateAnswer,
+    sentAt: ClockReading | undefined,
+  ): void {
+    if (!evacuations || !this.evacuations.record(evacuations, sentAt)) return;
+    const {version, ageMs} = evacuations;
+    const dataCentres = this.evacuations.known.join(' ');
+    this.log.logEvent('evacuationsKnown', {
+      dataCentres,
+      version,
+      ageMs: Math.round(ageMs),
+    });
+  }
+
   /** Records the leader of an epoch as a gate or the store names it. */
   private recordLeader(epoch: number, address: string | undefined): void {
     if (epoch > this.epoch) this.leaderAddress = undefined;
--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -8,6 +8,7 @@
   type StartOrder,
   type StopOrder,
 } from '../jobs/engine_messages.js';
+import {EvacuationBar, type EvacuationKnowledge} from '../jobs/evacuations.js';
 import {type WorkerReport, workerKey} from '../jobs/worker_pool.js';
 import {type ComponentLog} from '../plugins/event_log.js';
 import {type Metrics} from '../plugins/metrics.js';
@@ -49,6 +50,9 @@
   noLease:
     'no contact with the leader or the worker, or the worker is draining',
   workerShrunk: 'the worker has shrunk since the start was ordered',
+  [EvacuationBar.EVACUATED]: 'the data centre is evacuated',
+  [EvacuationBar.UNKNOWN]:
+    'no gate has said lately which data centres are evacuated',
 } as const;
 type UnsentStart = keyof typeof UNSENT_REASONS;
 
@@ -80,6 +84,7 @@
   readonly metrics: Metrics;
   readonly lease: LeaseRenewer;
   readonly tokens: FencingTokens;
+  readonly evacuations: EvacuationKnowledge;
   /** Longest time that a run takes to end after a stop, in ms. */
   readonly stopMs: number;
   /** Highest leadership epoch received by the agent; 0 before the first. */
@@ -265,7 +270,9 @@
       const reply = await this.tryStart(order, token);
       if (typeof reply === 'string') {
         reason = UNSENT_REASONS[reply];
-        break;
+        if (reply !== EvacuationBar.UNKNOWN) break;
+        await sleep(RETRY_DELAY_MS);
+        continue;
       }
       if (reply.type === 'started') return this.confirm(order);
       if (reply.type === 'otherIncarnation') return;
@@ -346,10 +353,16 @@
     order: StartOrder,
     fencingToken: number,
   ): Promise<StartReply | UnsentStart> {
-    const {worker, clock, lease, log, metrics} = this.ctx;
+    const {worker, clock, lease, evacuations, log, metrics} = this.ctx;
     const startMs = clock.nowMs();
     if (this.isLeaving || !this.isReachable) return 'noLease';
     if (hasShrunkSince(order, this.report)) return 'workerShrunk';
+    const {dataCentre} = this.report;
+    const bar = evacuations.barFor(dataCentre, readClocks(clock));
+    if (bar) {
+      metrics.increment(`starts_barred_${bar}`);
+      return bar;
+    }
     // A start must not reach a later incarnation before the agent knows of that one.
     if (this.isSilent) return {type: 'unreachable'};
     const leaseUntilMs = lease.nextLeaseUntilMs(readClocks(clock));
--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -2,6 +2,7 @@
 import {type Clock} from '../core/clock.js';
 import {HybridClock} from '../core/hybrid_clock.js';
 import {type Random} from '../core/random.js';
+import {type EvacuationNotice} from '../jobs/evacuations.js';
 import {JobIndex} from '../jobs/job_index.js';
 import {type JobTables} from '../jobs/job.js';
 import {
@@ -75,6 +76,8 @@
 }
 
 export interface JobGateContext {
+  /** What agents are told of evacuations; undefined if there is nothing to tell. */
+  readonly evacuations: () => EvacuationNotice | undefined;
   readonly store: StateStore;
   readonly clock: Clock;
   readonly random: Random;
@@ -165,6 +168,12 @@
     this.leaderRole.setTables(tables);
   }
 
+  /** Sets the data centres in which nothing is started, and tells the linked agents. */
+  setEvacuations(dataCentres: ReadonlySet<string>): void {
+    this.leaderRole.setEvacuations(dataCentres);
+    this.agents.broadcast(this.createAnswer(0));
+  }
+
   /** Whether the copy of the rows is recent enough to answer callers. */
   get isReady(): boolean {
     return !this.isStopping && this.jobService.isFresh;
@@ -367,6 +376,7 @@
       leads: this.isLeader,
       extendsLeases: this.isLeader && this.leaderRole.isLeadershipCertain,
       leaderAddress: this.leaderAddress,
+      evacuations: this.ctx.evacuations(),
     };
   }
 
--- a/src/gate/leader_role.ts
+++ b/src/gate/leader_role.ts
@@ -12,6 +12,7 @@
 } from '../core/clock_reading.js';
 import {type Random} from '../core/random.js';
 import {type AddressedOrder} from '../jobs/engine_messages.js';
+import {NO_EVACUATIONS} from '../jobs/evacuations.js';
 import {type JobIndex} from '../jobs/job_index.js';
 import {type JobTables} from '../jobs/job.js';
 import {type Batch, type EngineOptions, JobEngine} from '../jobs/job_engine.js';
@@ -82,6 +83,7 @@
   private isFlushScheduled = false;
   private readonly planningSchedule = new PlanningSchedule();
   private isRemovingJob = false;
+  private evacuated = NO_EVACUATIONS;
 
   constructor(
     private readonly store: StateStore,
@@ -119,12 +121,21 @@
     this.engine?.setTables(tables);
   }
 
+  /** Sets the data centres in which nothing is started. */
+  setEvacuations(dataCentres: ReadonlySet<string>): void {
+    this.evacuated = dataCentres;
+    if (!this.engine) return;
+    this.engine.setEvacuations(dataCentres);
+    this.scheduleFlush();
+  }
+
   /** Called when the copy of the rows is complete up to `version`. */
   onSynced(version: number): void {
     const {term} = this;
     if (!term || term.engine || version < term.version) return;
     const {clock} = this.ctx;
     const engine = new JobEngine(this.tables, this.ctx.engineOptions);
+    engine.setEvacuations(this.evacuated);
     engine.restore(this.jobIndex, clock.nowMs(), clock.wallMs());
     term.engine = engine;
     this.ctx.log.logEvent('leading', {
--- a/src/gate/row_follower.ts
+++ b/src/gate/row_follower.ts
@@ -1,5 +1,10 @@
 /** Follows the changes of all rows in the store and tracks how recent its copy is. */
 import {type Clock} from '../core/clock.js';
+import {
+  type ClockReading,
+  maxElapsedMs,
+  readClocks,
+} from '../core/clock_reading.js';
 import {type Random, backoffMs} from '../core/random.js';
 import {type ComponentLog} from '../plugins/event_log.js';
 import {sleep} from '../plugins/sleep.js';
@@ -22,7 +27,7 @@
 
 export class RowFollower {
   private version = -1;
-  private lastReadRequestedAtMs = -Infinity;
+  private lastReadRequestedAt: ClockReading | undefined;
   private isStopped = false;
   private failures = 0;
   private readonly pollWait = new PollWait();
@@ -42,7 +47,16 @@
 
   /** When the latest successful read was requested, in ms of the monotonic clock. */
   get freshAsOfMs(): number {
-    return this.lastReadRequestedAtMs;
+    return this.lastReadRequestedAt?.nowMs ?? -Infinity;
+  }
+
+  /**
+   * Upper bound of the time since the latest successful read was requested, in ms, also if the
+   * instance was suspended meanwhile; infinite before the first read.
+   */
+  get ageMs(): number {
+    const {lastReadRequestedAt: readAt} = this;
+    return readAt ? maxElapsedMs(readAt, readClocks(this.ctx.clock)) : Infinity;
   }
 
   async run(): Promise<void> {
@@ -61,36 +75,36 @@
   }
 
   private async pollOnce(): Promise<void> {
-    const requestedAtMs = this.ctx.clock.nowMs();
-    if (this.version < 0) return this.readAll(requestedAtMs);
+    const requestedAt = readClocks(this.ctx.clock);
+    if (this.version < 0) return this.readAll(requestedAt);
     const waitMs = this.pollWait.nextMs;
     const changes = await this.store.changes(this.version, waitMs);
     if (changes === 'historyLost') {
       this.ctx.log.logEvent('historyLost', {version: this.version});
-      return this.readAll(this.ctx.clock.nowMs());
+      return this.readAll(readClocks(this.ctx.clock));
     }
-    const tookMs = this.ctx.clock.nowMs() - requestedAtMs;
+    const tookMs = this.ctx.clock.nowMs() - requestedAt.nowMs;
     this.pollWait.recordPoll(waitMs, tookMs, changes.rows.length > 0);
     for (const row of changes.rows) this.handlers.onRow(row);
-    this.advanceTo(changes.version, requestedAtMs);
+    this.advanceTo(changes.version, requestedAt);
     if (changes.rows.length > 0 && !this.isLowLatency)
       await sleep(BATCHING_PAUSE_MS);
   }
 
-  private async readAll(requestedAtMs: number): Promise<void> {
+  private async readAll(requestedAt: ClockReading): Promise<void> {
     const all = await this.store.read('', READ_TIMEOUT_MS);
     this.handlers.onReset();
     for (const row of all.rows) this.handlers.onRow(row);
-    this.advanceTo(all.version, requestedAtMs);
+    this.advanceTo(all.version, requestedAt);
     this.ctx.log.logEvent('rowsRead', {
       rows: all.rows.length,
       version: all.version,
     });
   }
 
-  private advanceTo(version: number, requestedAtMs: number): void {
+  private advanceTo(version: number, requestedAt: ClockReading): void {
     this.version = Math.max(this.version, version);
-    this.lastReadRequestedAtMs = requestedAtMs;
+    this.lastReadRequestedAt = requestedAt;
     this.handlers.onSynced(this.version);
   }
 
--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -22,6 +22,7 @@
   isCleared,
   isGivenUp,
 } from './crash_suspects.js';
+import {NO_EVACUATIONS} from './evacuations.js';
 import {type JobIndex, type JobEntry} from './job_index.js';
 import {type JobSpec, type JobTables, type Queue} from './job.js';
 import {
@@ -148,6 +149,8 @@
   private readonly runTimes = new RunTimeEstimates();
   private readonly capacities = new ServiceCapacities();
   private readonly departedWorkers = new Set<string>();
+  /** Data centres in which nothing is started. */
+  private evacuated = NO_EVACUATIONS;
   private readonly dirtyRows = new Map<string, () => Uint8Array>();
   private readonly rowsToRemove = new Set<string>();
   private readonly expiredJobIds = new Set<string>();
@@ -178,6 +181,13 @@
     this.tables = tables;
   }
 
+  /** Sets the data centres in which nothing is started. Runs there continue. */
+  setEvacuations(dataCentres: ReadonlySet<string>): void {
+    this.evacuated = dataCentres;
+    for (const worker of this.pool.workers.values())
+      this.updateEvacuation(worker);
+  }
+
   addJob(spec: JobSpec, nowMs: number, wallMs: number): void {
     if (this.jobs.has(spec.id)) return;
     const job = makeJob(spec, nowMs, wallMs);
@@ -227,6 +237,7 @@
     this.recordContact(agent, nowMs);
     const trackedWorker = this.getOrAddWorker(agent, key, worker);
     trackedWorker.update(worker);
+    this.updateEvacuation(trackedWorker);
     this.recordCapacity(worker);
     this.recordEnds(agent, key, ends, nowMs);
     this.updateAllocations(trackedWorker, runs);
@@ -245,6 +256,10 @@
     }
   }
 
+  private updateEvacuation(worker: TrackedWorker): void {
+    worker.isEvacuated = this.evacuated.has(worker.report.dataCentre);
+  }
+
   private recordCapacity({service, capacity}: WorkerReport): void {
     if (!this.capacities.add(service, capacity)) return;
     this.dirtyRows.set(rowKeys.capacities(service), () =>
@@ -501,7 +516,7 @@
     orders: readonly AddressedOrder[],
     nowMs: number,
   ): AddressedOrder[] {
-    this.withdrawExcessStarts(orders, nowMs);
+    this.withdrawOutdatedStarts(orders, nowMs);
     return orders.flatMap(addressed => {
       const {order} = addressed;
       if (order.type !== 'start') return [addressed];
@@ -514,21 +529,28 @@
     });
   }
 
-  /** Takes back placements on workers that have shrunk since, the last ones first. */
-  private withdrawExcessStarts(
+  /**
+   * Takes back placements on workers that have shrunk or are evacuated since, the last ones
+   * first.
+   */
+  private withdrawOutdatedStarts(
     orders: readonly AddressedOrder[],
     nowMs: number,
   ): void {
     for (const {order} of [...orders].reverse()) {
       if (order.type !== 'start') continue;
       const task = this.findPlacedTask(order.worker, order);
-      if (task?.unit && this.pool.get(order.worker)?.isOverfull)
-        this.withdrawUnit(task.unit, nowMs);
+      const worker = this.pool.get(order.worker);
+      if (!task?.unit || !worker) continue;
+      if (worker.isEvacuated)
+        this.withdrawUnit(task.unit, 'its data centre is evacuated', nowMs);
+      else if (worker.isOverfull)
+        this.withdrawUnit(task.unit, 'the worker has shrunk', nowMs);
     }
   }
 
   /** Takes back a placement of which no start has been sent. */
-  private withdrawUnit(unit: Unit, nowMs: number): void {
+  private withdrawUnit(unit: Unit, reason: string, nowMs: number): void {
     const [first, ...others] = unit.tasks.filter(t => t.isPlaced);
     for (const task of [first, ...others]) {
       this.log({
@@ -536,7 +558,7 @@
         task: task.name,
         run: task.run,
         worker: task.worker,
-        reason: 'the worker has shrunk',
+        reason,
       });
       this.pool.get(task.worker)?.release(task.name, task.run);
     }
@@ -761,7 +783,8 @@
     const agent = agentOf(task.worker);
     const {unit} = task;
     const worker = this.pool.get(task.worker);
-    const takesNoStart = worker?.report.draining || worker?.isOverfull;
+    const takesNoStart =
+      worker?.report.draining || worker?.isOverfull || worker?.isEvacuated;
     if (!unit || task.isStopping || takesNoStart) {
       task.isStopping = true;
       this.order(agent, stopOrder(task.worker, task.ref));
--- a/src/jobs/worker_pool.ts
+++ b/src/jobs/worker_pool.ts
@@ -15,6 +15,8 @@
   /** Start time of this incarnation in ms since the Unix epoch. */
   readonly bornMs: number;
   readonly service: string;
+  /** Empty if the worker doesn't say. */
+  readonly dataCentre: string;
   readonly rack: string;
   readonly labels: readonly string[];
   readonly capacity: Resources;
@@ -50,6 +52,8 @@
   free: Resources;
   /** Time before which nothing is placed here, in ms of the monotonic clock. */
   blockedUntilMs = 0;
+  /** Whether operators have its data centre evacuated. */
+  isEvacuated = false;
 
   constructor(
     readonly agent: string,
@@ -100,7 +104,9 @@
   }
 
   acceptsWork(nowMs: number): boolean {
-    return !this.report.draining && nowMs >= this.blockedUntilMs;
+    return (
+      !this.report.draining && !this.isEvacuated && nowMs >= this.blockedUntilMs
+    );
   }
 
   hasCapacityFor(request: Resources): boolean {
--- a/src/plugins/metrics.ts
+++ b/src/plugins/metrics.ts
@@ -1,4 +1,4 @@
-/** Counters and latency histograms of one process. */
+/** Counters, gauges and latency histograms of one process. */
 import {type Histogram, build} from 'hdr-histogram-js';
 
 /** Longer durations are recorded as this value. */
@@ -14,6 +14,11 @@
     this.counters.set(name, (this.counters.get(name) ?? 0) + amount);
   }
 
+  /** Sets a value that may fall as well as rise. */
+  setGauge(name: string, value: number): void {
+    this.counters.set(name, value);
+  }
+
   counterValue(name: string): number {
     return this.counters.get(name) ?? 0;
   }
--- a/src/protocol/job_messages.ts
+++ b/src/protocol/job_messages.ts
@@ -8,6 +8,7 @@
   type StartRefusal,
 } from '../jobs/engine_messages.js';
 import {type Resources} from '../jobs/job.js';
+import {type EvacuationNotice} from '../jobs/evacuations.js';
 import {type WorkerReport} from '../jobs/worker_pool.js';
 import {RunEndKind} from '../ports/task_worker.js';
 import {decodeMessage, encodeMessage} from './message_codec.js';
@@ -26,6 +27,8 @@
   id: boundedText,
   bornMs: z.number(),
   service: boundedText,
+  // Agents of earlier versions don't send it.
+  dataCentre: boundedText.default(''),
   rack: boundedText,
   labels: z.array(boundedText),
   capacity: resourcesSchema,
@@ -174,6 +177,8 @@
   readonly leaderAddress?: string;
   /** Link addresses of all known gates; absent if unchanged since they were last sent. */
   readonly gates?: readonly string[];
+  /** Absent before the gate has read the operators' table, or where no bound is agreed. */
+  readonly evacuations?: EvacuationNotice;
 }
 
 /** Orders of the leader. */
@@ -185,6 +190,12 @@
 
 export type GateJobMessage = GateAnswer | GateOrders;
 
+const evacuationsSchema: z.ZodType<EvacuationNotice> = z.object({
+  version: z.number().int(),
+  dataCentres: z.array(boundedText),
+  ageMs: z.number().min(0),
+});
+
 const gateMessageSchema: z.ZodType<GateJobMessage> = z.discriminatedUnion(
   'type',
   [
@@ -196,6 +207,7 @@
       extendsLeases: z.boolean(),
       leaderAddress: boundedText.optional(),
       gates: z.array(boundedText).optional(),
+      evacuations: evacuationsSchema.optional(),
     }),
     z.object({
       type: z.literal('orders'),
--- a/tests/steps/departure_steps.ts
+++ b/tests/steps/departure_steps.ts
@@ -86,6 +86,7 @@
     id: 'w-0',
     bornMs: 1000,
     service: TEST_QUEUE.service,
+    dataCentre: 'dc1',
     rack: 'r1',
     labels: ['a', 'r1'],
     capacity: {cpu: 8000, memoryMb: 8000, accelerators: 8},
--- a/tests/steps/job_steps.ts
+++ b/tests/steps/job_steps.ts
@@ -73,6 +73,11 @@
   return cluster;
 }
 
+/** Sets the gates and agents of the scenario, which are stopped at its end. */
+export function setCluster(started: JobCluster): void {
+  cluster = started;
+}
+
 After(async () => {
   await cluster?.stop();
   cluster = undefined;
@@ -779,6 +784,7 @@
     id: worker,
     bornMs,
     service: TEST_QUEUE.service,
+    dataCentre: 'dc1',
     rack: 'r0',
     labels: [],
     capacity: makeStep().request,
--- a/tests/steps/processor_load_steps.ts
+++ b/tests/steps/processor_load_steps.ts
@@ -12,6 +12,7 @@
 import {join} from 'node:path';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {FencingTokens} from '../../src/agent/fencing_tokens.js';
+import {EvacuationKnowledge} from '../../src/jobs/evacuations.js';
 import {LeaderContact, LeaseRenewer} from '../../src/agent/lease_renewer.js';
 import {ReportSchedule} from '../../src/agent/report_schedule.js';
 import {WorkerDriver} from '../../src/agent/worker_driver.js';
@@ -37,6 +38,7 @@
     id: 'w-0',
     bornMs: 1000,
     service: 'desk',
+    dataCentre: 'dc1',
     rack: 'r1',
     labels: ['a', 'r1'],
     capacity: {cpu: 8000, memoryMb: 8000, accelerators: 8},
@@ -88,6 +90,7 @@
       new LeaderContact(),
     ),
     tokens: new FencingTokens(clock),
+    evacuations: new EvacuationKnowledge(undefined),
     stopMs: 500,
     epoch: () => 0,
     onStatusChange: () => undefined,
--- a/tests/steps/run_conclusion_steps.ts
+++ b/tests/steps/run_conclusion_steps.ts
@@ -162,6 +162,7 @@
       id: 'w0',
       bornMs,
       service: TEST_QUEUE.service,
+      dataCentre: 'dc1',
       rack: 'r0',
       labels: [],
       capacity: makeStep().request,
--- a/tests/steps/run_end_steps.ts
+++ b/tests/steps/run_end_steps.ts
@@ -168,6 +168,7 @@
     id: ENGINE_WORKER,
     bornMs,
     service: TEST_QUEUE.service,
+    dataCentre: 'dc1',
     rack: 'r1',
     labels: ['a', 'r1'],
     capacity: {cpu: 8000, memoryMb: 8000, accelerators: 8},
--- a/tests/steps/run_log_steps.ts
+++ b/tests/steps/run_log_steps.ts
@@ -156,6 +156,7 @@
     id: worker.id,
     bornMs,
     service: 'desk',
+    dataCentre: 'dc1',
     rack: 'r1',
     labels: ['a', 'r1'],
     capacity: {cpu: 8000, memoryMb: 8000, accelerators: 8},
--- a/tests/steps/worker_capacity_steps.ts
+++ b/tests/steps/worker_capacity_steps.ts
@@ -3,6 +3,7 @@
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import fc from 'fast-check';
 import {FencingTokens} from '../../src/agent/fencing_tokens.js';
+import {EvacuationKnowledge} from '../../src/jobs/evacuations.js';
 import {LeaderContact, LeaseRenewer} from '../../src/agent/lease_renewer.js';
 import {WorkerDriver} from '../../src/agent/worker_driver.js';
 import {Random} from '../../src/core/random.js';
@@ -42,6 +43,7 @@
     id: 'w-0',
     bornMs: 1000,
     service: TEST_QUEUE.service,
+    dataCentre: 'dc1',
     rack: 'r1',
     labels: ['a', 'r1'],
     capacity: resourcesFor(accelerators),
@@ -319,6 +321,7 @@
       metrics: new Metrics(),
       lease: new LeaseRenewer(LEASE, contact),
       tokens: new FencingTokens(clock),
+      evacuations: new EvacuationKnowledge(undefined),
       stopMs: 500,
       epoch: () => 1,
       onStatusChange: () => undefined,
