The objective of a job includes the time of its failed runs

Cause: a run that fails by itself belongs to the chain of work by which the objective is computed, but the leader left it out.

Failures lie in the run records, so a new leader knows them.

--- a/src/jobs/placement_order.ts
+++ b/src/jobs/placement_order.ts
@@ -14,6 +14,8 @@
   readonly arrivalMs: number;
   /** Expected run time of the critical path of the job, in ms. */
   readonly criticalPathMs: number;
+  /** Expected run time of its failed runs, by which the objective moves, in ms. */
+  readonly failedRunsMs: number;
   /** Whether it lies within the guarantee of its workspace. */
   readonly isGuaranteed: boolean;
 }
@@ -29,7 +31,8 @@
 }
 
 function objectiveMs(work: WaitingWork): number {
-  return work.queue.stretch * work.criticalPathMs + work.queue.targetMs;
+  const {queue, criticalPathMs, failedRunsMs} = work;
+  return queue.stretch * (criticalPathMs + failedRunsMs) + queue.targetMs;
 }
 
 /** Whether the work would finish before its late limit if it were placed now. */
--- a/src/jobs/planner.ts
+++ b/src/jobs/planner.ts
@@ -316,6 +316,7 @@
       queue: unit.job.currentQueue(input.tables.queues),
       arrivalMs: unit.step.occurrence.dueAtMs,
       criticalPathMs: pass.criticalPathMs(unit.job),
+      failedRunsMs: pass.failedRunsMs(unit.step.occurrence),
     }));
     group.units.push(unit);
   }
--- a/src/jobs/planning_pass.ts
+++ b/src/jobs/planning_pass.ts
@@ -11,6 +11,7 @@
 } from './job.js';
 import {
   type TrackedJob,
+  type TrackedOccurrence,
   type TrackedTask,
   type Unit,
   ranMs,
@@ -159,6 +160,21 @@
     return after[unit.step.number];
   }
 
+  /**
+   * Expected run time of the failed runs of an occurrence, in ms. Failures lie in the run
+   * records, so that a new leader knows them.
+   */
+  failedRunsMs({job, steps}: TrackedOccurrence): number {
+    const {runTimes} = this.input;
+    return steps.reduce((sum, {spec, tasks}) => {
+      const failures = tasks.reduce((n, t) => Math.max(n, t.failures), 0);
+      if (failures === 0) return sum;
+      return (
+        sum + failures * runTimes.expectedMs(job.spec.queue, spec.estimateMs)
+      );
+    }, 0);
+  }
+
   private expectedStepMs(job: TrackedJob, step: StepSpec): number {
     const {runTimes, tables} = this.input;
     const runMs = runTimes.expectedMs(job.spec.queue, step.estimateMs);
--- a/tests/steps/decision_steps.ts
+++ b/tests/steps/decision_steps.ts
@@ -438,6 +438,7 @@
     arrivalMs,
     criticalPathMs: 1000,
     isGuaranteed,
+    failedRunsMs: 0,
   });
   work = new Map([
     ['late', make(0, -100_000, false)],
