Gangs that run much slower on several racks wait for theirs while it can still be in time

Cause: work that depends on a rack waited half a run time from when it was first ready. Whether the rack could hold it was asked of the workers that were free for it, not of all.

Work now waits while only its rack can be in time, and once it is late, until it would miss its late limit elsewhere. Guaranteed work waits as before, counted from when it last became ready.

--- a/src/jobs/planner.ts
+++ b/src/jobs/planner.ts
@@ -32,6 +32,7 @@
 import {type PreemptionPlan, planPreemption} from './preemption_plan.js';
 import {TaskState} from './job_rows.js';
 import {minConcurrentTasks} from './step_waves.js';
+import {mayUseOtherRacks} from './rack_patience.js';
 import {agentOf} from './worker_pool.js';
 import {UNHEALTHY_PENALTY} from './failure_tracker.js';
 import {
@@ -40,8 +41,6 @@
   SuspectPlacement,
 } from './suspect_placement.js';
 
-/** Longest wait for the preferred rack, as a fraction of the expected run time. */
-const RACK_WAIT_SHARE = 0.5; // on other racks a task takes three times as long
 /** Longest wait for running tasks to finish before others are preempted, in ms. */
 const MAX_END_WAIT_MS = 1200; // guaranteed work must begin in 2.7 s; stops take 0.6 s
 /** The same limit as a fraction of the expected run time; the shorter one applies. */
@@ -137,7 +136,7 @@
       if (pass.input.nowMs < unit.notBeforeMs) continue;
       if (isFull && !held.has(unit)) continue;
       const candidates = this.candidatesFor(unit, pass);
-      const workers = findWorkers(unit, candidates, pass);
+      const workers = findWorkers(unit, group, candidates, pass);
       if (workers) {
         output.place(unit, workers);
         pass.recordPlacement(unit, workers);
@@ -215,7 +214,7 @@
     if (this.holdEndingCapacity(unit, candidates, pass))
       return WaitReason.RUNS_END_SOON;
     const units = victimsFor(unit, candidates, pass);
-    const plan = findPreemption(unit, candidates, units, pass);
+    const plan = findPreemption(unit, group, candidates, units, pass);
     if (!plan) return WaitReason.TOO_FEW_VICTIMS;
     if (!group.isGuaranteed && !isCheaperThanWork(unit, plan.costCoreMs, pass))
       return WaitReason.TOO_COSTLY;
@@ -332,6 +331,7 @@
  */
 function findWorkers(
   unit: Unit,
+  group: WaitingGroup,
   candidates: readonly CandidateWorker[],
   pass: PlanningPass,
 ): Placement {
@@ -341,10 +341,9 @@
   const onRack = {allowOtherRacks: false, effort};
   const placement = place(spec, count, candidates, onRack);
   if (placement || !dependsOnRack(spec, count)) return placement;
-  const waitedMs = input.nowMs - unit.readyAtMs;
-  const mayWaitLonger = waitedMs <= pass.expectedRunMs(unit) * RACK_WAIT_SHARE;
-  if (mayWaitLonger) {
-    const empty = candidates.map(candidate => ({
+  if (!isBetterElsewhere(unit, group, pass)) {
+    const all = pass.candidatesOf(pass.serviceOf(unit));
+    const empty = all.map(candidate => ({
       ...candidate,
       free: input.pool.get(candidate.worker)!.report.capacity,
       stepTasks: 0,
@@ -354,6 +353,23 @@
   return place(spec, count, candidates, {allowOtherRacks: true, effort});
 }
 
+/** Whether a unit whose rack is full should run on other racks. */
+function isBetterElsewhere(
+  unit: Unit,
+  group: WaitingGroup,
+  pass: PlanningPass,
+): boolean {
+  return mayUseOtherRacks({
+    isGuaranteed: group.isGuaranteed,
+    nowMs: pass.input.nowMs,
+    waitsSinceMs: unit.waitsSinceMs,
+    runMs: pass.expectedRunMs(unit),
+    afterMs: pass.pathAfterMs(unit),
+    objectiveAtMs: objectiveAtMs(group),
+    lateLimitAtMs: lateLimitAtMs(group),
+  });
+}
+
 /** The candidate as one unit sees it. */
 function forUnit(candidate: CandidateWorker, unit: Unit): CandidateWorker {
   const {worker} = candidate;
@@ -386,6 +402,7 @@
 /** Preemption that frees capacity for the unit, on its own rack if possible. */
 function findPreemption(
   unit: Unit,
+  group: WaitingGroup,
   candidates: readonly CandidateWorker[],
   units: ReadonlyMap<string, PreemptibleUnit>,
   pass: PlanningPass,
@@ -398,6 +415,8 @@
   const onRack = {allowOtherRacks: false, effort};
   const plan = planPreemption(spec, count, candidates, victims, onRack);
   if (plan || !dependsOnRack(spec, count)) return plan;
+  if (!group.isGuaranteed && !isBetterElsewhere(unit, group, pass))
+    return undefined;
   const onAnyRack = {allowOtherRacks: true, effort};
   return planPreemption(spec, count, candidates, victims, onAnyRack);
 }
--- /dev/null
+++ b/src/jobs/rack_patience.ts
@@ -0,0 +1,38 @@
+/**
+ * Load: gangs that run much slower on several racks, and tasks that run much slower off the
+ * rack of their data, while their racks are full. Placed elsewhere at once they hold
+ * three times the room and end late, though a place on their rack may be free in time.
+ */
+
+/** How much longer tasks take off their rack. */
+const OTHER_RACK_FACTOR = 3; // service terms
+/** Wait for the rack, as a fraction of the expected run time, if both places end in time. */
+const RACK_WAIT_SHARE = 0.5;
+
+export interface RackChoice {
+  /** Guaranteed work must begin soon, wherever it is. */
+  readonly isGuaranteed: boolean;
+  readonly nowMs: number;
+  /** Since when it has been waiting, in ms of the monotonic clock. */
+  readonly waitsSinceMs: number;
+  /** Expected run time on the rack, in ms. */
+  readonly runMs: number;
+  /** Expected time from the end of its run to the end of its job, in ms. */
+  readonly afterMs: number;
+  readonly objectiveAtMs: number;
+  readonly lateLimitAtMs: number;
+}
+
+/** Whether the tasks should be placed on other racks, if their own has no room now. */
+export function mayUseOtherRacks(choice: RackChoice): boolean {
+  const {nowMs, runMs, afterMs, objectiveAtMs, lateLimitAtMs} = choice;
+  const endOnRackMs = nowMs + runMs + afterMs;
+  const endElsewhereMs = nowMs + OTHER_RACK_FACTOR * runMs + afterMs;
+  const patienceMs = RACK_WAIT_SHARE * runMs;
+  const hasWaited = nowMs - choice.waitsSinceMs > patienceMs;
+  if (endOnRackMs > lateLimitAtMs) return true;
+  if (choice.isGuaranteed || endElsewhereMs <= objectiveAtMs) return hasWaited;
+  if (endOnRackMs <= objectiveAtMs) return false;
+  // It ends late anywhere, so the rack is worth waiting for until elsewhere is too late.
+  return endElsewhereMs + patienceMs > lateLimitAtMs;
+}
--- a/src/jobs/tracked_job.ts
+++ b/src/jobs/tracked_job.ts
@@ -151,6 +151,11 @@
     return this.step.occurrence.job;
   }
 
+  /** Since when it has been waiting, in ms of the monotonic clock. */
+  get waitsSinceMs(): number {
+    return Math.max(this.readyAtMs, this.notBeforeMs);
+  }
+
   get isGang(): boolean {
     return this.step.spec.gang;
   }
