Headroom: workers are kept for the urgent work that is expected

Cause of what callers saw: batch work fills each gap and is stopped for the next urgent gang.

The leader keeps as many workers as urgent work has lately wanted at once. Other work stays off them while waiting costs its callers nothing, unless it is cheap to stop. The arrivals come from the job rows, so a successor knows them. A unit costs more as a victim each time that it is stopped.

--- a/harness/load_simulation.ts
+++ b/harness/load_simulation.ts
@@ -107,6 +107,8 @@
    * planning takes no time.
    */
   readonly workerChecksPerMs?: number;
+  /** Called for the first task of each unit that is stopped for other work. */
+  readonly onPreempted?: (task: string, atMs: number) => void;
 }
 
 interface Job {
@@ -156,7 +158,11 @@
     this.engine = new JobEngine(tables, {
       contactTimeoutMs: CONTACT_TIMEOUT_MS,
       endedJobRetentionMs: 1e9,
-      onEvent: event => this.events.push(event),
+      onEvent: event => {
+        this.events.push(event);
+        if (event.event === 'preempted')
+          options.onPreempted?.(event.task!, this.nowMs);
+      },
     });
     this.workers = Array.from({length: options.workers}, (unused, i) =>
       this.makeWorker(i),
@@ -200,6 +206,10 @@
     this.workers[worker].speed = speed;
   }
 
+  get freeAccelerators(): number {
+    return this.workers.reduce((n, w) => n + w.freeResources.accelerators, 0);
+  }
+
   advance(ms: number): void {
     const untilMs = this.nowMs + ms;
     while (this.nowMs < untilMs) {
--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -215,6 +215,10 @@
         metrics.increment(`engine_${event}`);
         if (event === 'placed')
           metrics.recordDuration('placing', fields.ms ?? 0);
+        if (event === 'headroom')
+          metrics.setGauge('headroom_workers', fields.workers ?? 0);
+        if (event === 'preempted' && fields.times! > 1)
+          metrics.increment('preempted_again');
         if (event === 'runLost' && fields.proof)
           metrics.increment(`runs_concluded_${fields.proof}`);
         engineLog.logEvent(event, fields);
--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -49,6 +49,8 @@
 import {type PlanInput} from './planning_pass.js';
 import {RunTimeEstimates} from './run_time_estimates.js';
 import {ServiceCapacities} from './service_capacities.js';
+import {UrgentDemand} from './urgent_demand.js';
+import {UrgentHeadroom} from './urgent_headroom.js';
 import {isStalled} from './run_progress.js';
 import {
   JobResult,
@@ -79,6 +81,8 @@
 const ORDER_RESEND_DELAY_MS = 1000; // two report intervals of the agent
 /** Time for which a worker that its agent can't reach gets no new work, in ms. */
 const UNREACHABLE_BACKOFF_MS = 1200; // slightly more than two report intervals
+/** Minimum interval between log lines about the headroom, in ms. */
+const HEADROOM_LOG_INTERVAL_MS = 1000;
 /** Interval between checks for stalled runs, in ms. */
 const STALL_CHECK_INTERVAL_MS = 500; // the report interval of agents
 /** Time after a takeover in which agents report their workers, in ms. */
@@ -111,6 +115,10 @@
   /** Why a run was stopped, if the leader ordered it. */
   readonly stopCause?: DiscardCause;
   readonly ms?: number;
+  /** Number of times that the unit has been preempted. */
+  readonly times?: number;
+  /** Number of workers that are kept for urgent work. */
+  readonly workers?: number;
   /** Time since the last contact with the worker's agent. */
   readonly sinceContactMs?: number;
   /** Work that is lost and has to be done again, in core-ms. */
@@ -153,6 +161,9 @@
   private readonly crashSuspects = new CrashSuspects<TrackedTask>();
   private readonly runTimes = new RunTimeEstimates();
   private readonly capacities = new ServiceCapacities();
+  private readonly urgentDemand = new UrgentDemand();
+  private readonly urgentHeadroom = new UrgentHeadroom();
+  private headroomLogged = {workers: 0, atMs: -Infinity};
   private readonly departedWorkers = new Set<string>();
   /** Data centres in which nothing is started. */
   private evacuated = NO_EVACUATIONS;
@@ -473,12 +484,23 @@
   /** Places waiting units; returns the size of the pass. */
   plan(nowMs: number): PassSize {
     if (this.waiting.size === 0) return EMPTY_PASS;
-    return this.planner.plan(this.planInput(nowMs), {
+    const size = this.planner.plan(this.planInput(nowMs), {
       place: (unit, workers) => this.placeUnit(unit, workers, nowMs),
       preempt: (victim, beneficiary) =>
         this.preempt(victim, beneficiary, nowMs),
       wait: (unit, reason) => this.recordWait(unit, reason, nowMs),
     });
+    this.logHeadroom(nowMs);
+    return size;
+  }
+
+  /** Logs how many workers are kept for urgent work, if that has changed. */
+  private logHeadroom(nowMs: number): void {
+    const workers = this.urgentHeadroom.size;
+    if (workers === this.headroomLogged.workers) return;
+    if (nowMs - this.headroomLogged.atMs < HEADROOM_LOG_INTERVAL_MS) return;
+    this.headroomLogged = {workers, atMs: nowMs};
+    this.log({event: 'headroom', workers});
   }
 
   /** Returns the orders that depend on no row, and clears their list. */
@@ -677,6 +699,7 @@
       (step, block) => entry?.blocks.get(`${number}.${step}.${block}`),
     );
     job.occurrences.set(number, occurrence);
+    this.recordUrgentDemand(occurrence);
     for (const task of occurrence.steps.flatMap(s => s.tasks))
       this.tasks.set(task.name, task);
     this.openSteps(occurrence, readyAtMs);
@@ -689,6 +712,21 @@
     }
   }
 
+  /** Records the first step of urgent work, which wants room as soon as it is due. */
+  private recordUrgentDemand({job, steps, dueAtMs}: TrackedOccurrence): void {
+    const {service, priority} = job.currentQueue(this.tables.queues);
+    if (priority !== 0) return;
+    const {count, request, estimateMs} = steps[0].spec;
+    const {queue} = job.spec;
+    this.urgentDemand.record({
+      service,
+      atMs: dueAtMs,
+      count,
+      request,
+      runMs: this.runTimes.expectedMs(queue, estimateMs),
+    });
+  }
+
   private getOrAddWorker(
     agent: string,
     key: string,
@@ -833,11 +871,13 @@
   }
 
   private preempt(victim: Unit, beneficiary: Unit, nowMs: number): void {
+    victim.preemptions++;
     this.log({
       event: 'preempted',
       task: victim.tasks[0].name,
       reason: `frees capacity for ${beneficiary.tasks[0].name}`,
       ms: Math.round(ranMs(victim.tasks[0], nowMs)),
+      times: victim.preemptions,
     });
     this.stopUnit(victim, DiscardCause.PREEMPTED);
   }
@@ -863,6 +903,8 @@
       pool: this.pool,
       failureTracker: this.failureTracker,
       runTimes: this.runTimes,
+      urgentDemand: this.urgentDemand,
+      urgentHeadroom: this.urgentHeadroom,
     };
   }
 
@@ -1110,6 +1152,33 @@
   }
 }
 
+/** Times of an occurrence, in ms of the monotonic clock. */
+interface OccurrenceTimes {
+  /** From when its objective counts. */
+  readonly dueAtMs: number;
+  /** From when its first tasks wait for a place. */
+  readonly readyAtMs: number;
+}
+
+function dueTimes(atMs: number): OccurrenceTimes {
+  return {dueAtMs: atMs, readyAtMs: atMs};
+}
+
+function dueWallMs(schedule: Schedule, occurrence: number): number {
+  return schedule.firstWallMs + occurrence * schedule.intervalMs;
+}
+
+/** When an occurrence was due, but not in the future, since wall clocks may jump. */
+function dueAtMs(
+  {spec: {schedule}, acceptedAtMs}: TrackedJob,
+  occurrence: number,
+  nowMs: number,
+  wallMs: number,
+): number {
+  if (!schedule) return acceptedAtMs;
+  return Math.min(nowMs, nowMs - (wallMs - dueWallMs(schedule, occurrence)));
+}
+
 /** Creates a job; its age is at least 0, since wall clocks of processes may differ. */
 function makeJob(spec: JobSpec, nowMs: number, wallMs: number): TrackedJob {
   const ageMs = Math.max(0, wallMs - spec.acceptedWallMs);
@@ -1141,30 +1210,3 @@
 function stopOrder(worker: string, {task, run}: RunRef): Order {
   return {type: 'stop', worker, task, run};
 }
-/** Times of an occurrence, in ms of the monotonic clock. */
-interface OccurrenceTimes {
-  /** From when its objective counts. */
-  readonly dueAtMs: number;
-  /** From when its first tasks wait for a place. */
-  readonly readyAtMs: number;
-}
-
-function dueTimes(atMs: number): OccurrenceTimes {
-  return {dueAtMs: atMs, readyAtMs: atMs};
-}
-
-function dueWallMs(schedule: Schedule, occurrence: number): number {
-  return schedule.firstWallMs + occurrence * schedule.intervalMs;
-}
-
-/** When an occurrence was due, but not in the future, since wall clocks may jump. */
-function dueAtMs(
-  {spec: {schedule}, acceptedAtMs}: TrackedJob,
-  occurrence: number,
-  nowMs: number,
-  wallMs: number,
-): number {
-  if (!schedule) return acceptedAtMs;
-  return Math.min(nowMs, nowMs - (wallMs - dueWallMs(schedule, occurrence)));
-}
-
--- a/src/jobs/planner.ts
+++ b/src/jobs/planner.ts
@@ -33,6 +33,7 @@
 import {TaskState} from './job_rows.js';
 import {minConcurrentTasks} from './step_waves.js';
 import {mayUseOtherRacks} from './rack_patience.js';
+import {staysOffHeadroom} from './urgent_headroom.js';
 import {agentOf} from './worker_pool.js';
 import {UNHEALTHY_PENALTY} from './failure_tracker.js';
 import {
@@ -51,6 +52,9 @@
 /** Late work may preempt when fewer run times than this remain to its late limit. */
 const LATE_LIMIT_MARGIN_RUNS = 2; // its own run, and one run that may end before it
 
+/** Penalty of workers that are kept for urgent work; lower than that of any failure. */
+const HEADROOM_PENALTY = 0.5;
+
 export interface PlanOutput {
   place(unit: Unit, workers: readonly string[]): void;
   preempt(victim: Unit, beneficiary: Unit): void;
@@ -135,7 +139,12 @@
     for (const unit of group.units) {
       if (pass.input.nowMs < unit.notBeforeMs) continue;
       if (isFull && !held.has(unit)) continue;
-      const candidates = this.candidatesFor(unit, pass);
+      const candidates = this.offHeadroom(
+        group,
+        unit,
+        this.candidatesFor(unit, pass),
+        pass,
+      );
       const workers = findWorkers(unit, group, candidates, pass);
       if (workers) {
         output.place(unit, workers);
@@ -174,6 +183,38 @@
     );
   }
 
+  /**
+   * Candidates for work of lower priority: without the workers that are kept for urgent
+   * work, or with these last if it may use them.
+   */
+  private offHeadroom(
+    group: WaitingGroup,
+    unit: Unit,
+    candidates: readonly CandidateWorker[],
+    pass: PlanningPass,
+  ): readonly CandidateWorker[] {
+    if (pass.isUrgent(unit)) return candidates;
+    const service = pass.serviceOf(unit);
+    const headroom = pass.headroomOf(service);
+    if (headroom.size === 0) return candidates;
+    const {nowMs} = pass.input;
+    const staysOff = staysOffHeadroom({
+      nowMs,
+      objectiveAtMs: objectiveAtMs(group),
+      lateLimitAtMs: lateLimitAtMs(group),
+      pathMs: pass.expectedRunMs(unit) + pass.pathAfterMs(unit),
+      readyAtMs: unit.readyAtMs,
+      isCheapToStop: unit.step.spec.checkpointing,
+      useShare: pass.useShare(service),
+    });
+    if (staysOff) return candidates.filter(c => !headroom.has(c.worker));
+    return candidates.map(c =>
+      headroom.has(c.worker)
+        ? {...c, penalty: c.penalty + HEADROOM_PENALTY}
+        : c,
+    );
+  }
+
   /** Holds the worker that is expected to be empty first, for a task that must run alone. */
   private holdEmptyingWorker(unit: Unit, pass: PlanningPass): void {
     const isHeld = [...this.holds.values()].some(h => h.unit === unit);
--- a/src/jobs/planning_pass.ts
+++ b/src/jobs/planning_pass.ts
@@ -20,6 +20,8 @@
 import {type Victim} from './preemption_plan.js';
 import {type RunTimeEstimates} from './run_time_estimates.js';
 import {SuspectRuns} from './suspect_placement.js';
+import {type UrgentDemand} from './urgent_demand.js';
+import {type HeadroomWorker, type UrgentHeadroom} from './urgent_headroom.js';
 import {countWaves} from './step_waves.js';
 import {type WorkerPool, type TrackedWorker} from './worker_pool.js';
 import {type FailureTracker} from './failure_tracker.js';
@@ -35,6 +37,8 @@
   readonly pool: WorkerPool;
   readonly failureTracker: FailureTracker;
   readonly runTimes: RunTimeEstimates;
+  readonly urgentDemand: UrgentDemand;
+  readonly urgentHeadroom: UrgentHeadroom;
 }
 
 /** A placed unit that may be preempted. */
@@ -58,6 +62,7 @@
   private readonly candidates = new Map<string, CandidateWorker[]>();
   private readonly taskCapacities = new Map<string, number>();
   private readonly criticalPaths = new Map<TrackedJob, number>();
+  private readonly headrooms = new Map<string, ReadonlySet<string>>();
   private preemptible: PreemptibleUnit[] | undefined;
   /** Placed runs in the order in which they are expected to end. */
   private endingRuns: EndingRun[] | undefined;
@@ -175,6 +180,56 @@
     }, 0);
   }
 
+  /** Workers of the service that are kept for urgent work. */
+  headroomOf(service: string): ReadonlySet<string> {
+    return getOrAdd(this.headrooms, service, () => this.findHeadroom(service));
+  }
+
+  /** Share of the accelerators of a service that is in use. */
+  useShare(service: string): number {
+    let used = 0;
+    let total = 0;
+    for (const {free, report} of this.input.pool.ofService(service)) {
+      total += report.capacity.accelerators;
+      used += report.capacity.accelerators - free.accelerators;
+    }
+    return total > 0 ? used / total : 0;
+  }
+
+  private findHeadroom(service: string): ReadonlySet<string> {
+    const {pool, urgentDemand, urgentHeadroom, nowMs} = this.input;
+    const workers = pool.ofService(service).filter(w => w.acceptsWork(nowMs));
+    const capacity = largestCapacity(workers);
+    const peakWorkers = urgentDemand.peakWorkers(service, capacity, nowMs);
+    if (peakWorkers === 0) return NO_WORKERS;
+    const occupied = this.costlyToStop();
+    return urgentHeadroom.choose(
+      service,
+      workers.map((w): HeadroomWorker => ({
+        worker: w.key,
+        rack: w.report.rack,
+        capacity: w.report.capacity,
+        occupied: occupied.get(w.key) ?? NO_RESOURCES,
+      })),
+      peakWorkers,
+    );
+  }
+
+  /** Room of the runs that are neither urgent nor cheap to stop, by worker. */
+  private costlyToStop(): Map<string, Resources> {
+    const byWorker = new Map<string, Resources>();
+    for (const unit of this.input.placed) {
+      const {checkpointing, request} = unit.step.spec;
+      if (checkpointing || this.isUrgent(unit)) continue;
+      for (const {isPlaced, isStopping, worker} of unit.tasks) {
+        if (!isPlaced || isStopping) continue;
+        const before = byWorker.get(worker) ?? NO_RESOURCES;
+        byWorker.set(worker, addResources(before, request));
+      }
+    }
+    return byWorker;
+  }
+
   private expectedStepMs(job: TrackedJob, step: StepSpec): number {
     const {runTimes, tables} = this.input;
     const runMs = runTimes.expectedMs(job.spec.queue, step.estimateMs);
@@ -240,6 +295,18 @@
   }
 }
 
+const NO_WORKERS: ReadonlySet<string> = new Set();
+const NO_RESOURCES: Resources = {cpu: 0, memoryMb: 0, accelerators: 0};
+
+/** The capacity with most accelerators. */
+function largestCapacity(workers: readonly TrackedWorker[]): Resources {
+  return workers.reduce(
+    (largest, {report: {capacity}}) =>
+      capacity.accelerators > largest.accelerators ? capacity : largest,
+    NO_RESOURCES,
+  );
+}
+
 function toVictim(unit: Unit, nowMs: number): Victim {
   const placed = unit.tasks.filter(t => t.isPlaced);
   return {
@@ -248,6 +315,6 @@
       worker: t.worker,
       request: unit.step.spec.request,
     })),
-    costCoreMs: unit.stopCostCoreMs(nowMs),
+    costCoreMs: unit.stopCostCoreMs(nowMs) * (1 + unit.preemptions),
   };
 }
--- a/src/jobs/tracked_job.ts
+++ b/src/jobs/tracked_job.ts
@@ -131,6 +131,8 @@
 export class Unit {
   /** Earliest time for the next placement, in ms of the monotonic clock. */
   notBeforeMs = 0;
+  /** Number of times that it was stopped for urgent work. */
+  preemptions = 0;
   /** Last logged reason for which urgent work waits. */
   waitReason = '';
   /** Agents on whose workers a run failed, the most recent last. */
