The headroom is chosen twice a second, and its use is decided once a step

The choice reads all placed work, and each unit of a wide step counted all workers anew, so a pass with much waiting work took longer than before. No decision changes but for the age of the choice, 0.5 s at most.

--- a/src/jobs/planner.ts
+++ b/src/jobs/planner.ts
@@ -135,16 +135,12 @@
     output: PlanOutput,
   ): void {
     const held = new Set([...this.holds.values()].map(h => h.unit));
+    const use = headroomUse(group, pass);
     let isFull = false;
     for (const unit of group.units) {
       if (pass.input.nowMs < unit.notBeforeMs) continue;
       if (isFull && !held.has(unit)) continue;
-      const candidates = this.offHeadroom(
-        group,
-        unit,
-        this.candidatesFor(unit, pass),
-        pass,
-      );
+      const candidates = withHeadroom(this.candidatesFor(unit, pass), use);
       const workers = findWorkers(unit, group, candidates, pass);
       if (workers) {
         output.place(unit, workers);
@@ -183,38 +179,6 @@
     );
   }
 
-  /**
-   * Candidates for work of lower priority: without the workers that are kept for urgent
-   * work, or with these last if it may use them.
-   */
-  private offHeadroom(
-    group: WaitingGroup,
-    unit: Unit,
-    candidates: readonly CandidateWorker[],
-    pass: PlanningPass,
-  ): readonly CandidateWorker[] {
-    if (pass.isUrgent(unit)) return candidates;
-    const service = pass.serviceOf(unit);
-    const headroom = pass.headroomOf(service);
-    if (headroom.size === 0) return candidates;
-    const {nowMs} = pass.input;
-    const staysOff = staysOffHeadroom({
-      nowMs,
-      objectiveAtMs: objectiveAtMs(group),
-      lateLimitAtMs: lateLimitAtMs(group),
-      pathMs: pass.expectedRunMs(unit) + pass.pathAfterMs(unit),
-      readyAtMs: unit.readyAtMs,
-      isCheapToStop: unit.step.spec.checkpointing,
-      useShare: pass.useShare(service),
-    });
-    if (staysOff) return candidates.filter(c => !headroom.has(c.worker));
-    return candidates.map(c =>
-      headroom.has(c.worker)
-        ? {...c, penalty: c.penalty + HEADROOM_PENALTY}
-        : c,
-    );
-  }
-
   /** Holds the worker that is expected to be empty first, for a task that must run alone. */
   private holdEmptyingWorker(unit: Unit, pass: PlanningPass): void {
     const isHeld = [...this.holds.values()].some(h => h.unit === unit);
@@ -335,6 +299,47 @@
   }
 }
 
+/** How work of lower priority may use the workers that are kept for urgent work. */
+interface HeadroomUse {
+  readonly kept: ReadonlySet<string>;
+  readonly staysOff: boolean;
+}
+
+/** Undefined if nothing is kept from the work. */
+function headroomUse(
+  group: WaitingGroup,
+  pass: PlanningPass,
+): HeadroomUse | undefined {
+  const [unit] = group.units;
+  if (pass.isUrgent(unit)) return undefined;
+  const service = pass.serviceOf(unit);
+  const kept = pass.headroomOf(service);
+  if (kept.size === 0) return undefined;
+  const staysOff = staysOffHeadroom({
+    nowMs: pass.input.nowMs,
+    objectiveAtMs: objectiveAtMs(group),
+    lateLimitAtMs: lateLimitAtMs(group),
+    pathMs: pass.expectedRunMs(unit) + pass.pathAfterMs(unit),
+    readyAtMs: unit.readyAtMs,
+    isCheapToStop: unit.step.spec.checkpointing,
+    useShare: pass.useShare(service),
+  });
+  return {kept, staysOff};
+}
+
+/** The candidates without the workers that are kept, or with these last. */
+function withHeadroom(
+  candidates: readonly CandidateWorker[],
+  use: HeadroomUse | undefined,
+): readonly CandidateWorker[] {
+  if (!use) return candidates;
+  const {kept, staysOff} = use;
+  if (staysOff) return candidates.filter(c => !kept.has(c.worker));
+  return candidates.map(c =>
+    kept.has(c.worker) ? {...c, penalty: c.penalty + HEADROOM_PENALTY} : c,
+  );
+}
+
 /** The pass as the placement of a suspect sees it. */
 function viewOf(unit: Unit, pass: PlanningPass): PassView {
   const {pool, nowMs} = pass.input;
--- a/src/jobs/planning_pass.ts
+++ b/src/jobs/planning_pass.ts
@@ -198,11 +198,13 @@
 
   private findHeadroom(service: string): ReadonlySet<string> {
     const {pool, urgentDemand, urgentHeadroom, nowMs} = this.input;
+    if (!urgentHeadroom.isDue(service, nowMs))
+      return urgentHeadroom.keptFor(service);
     const workers = pool.ofService(service).filter(w => w.acceptsWork(nowMs));
     const capacity = largestCapacity(workers);
     const peakWorkers = urgentDemand.peakWorkers(service, capacity, nowMs);
-    if (peakWorkers === 0) return NO_WORKERS;
-    const occupied = this.costlyToStop();
+    const occupied =
+      peakWorkers > 0 ? this.costlyToStop() : new Map<string, Resources>();
     return urgentHeadroom.choose(
       service,
       workers.map((w): HeadroomWorker => ({
@@ -212,6 +214,7 @@
         occupied: occupied.get(w.key) ?? NO_RESOURCES,
       })),
       peakWorkers,
+      nowMs,
     );
   }
 
@@ -295,7 +298,6 @@
   }
 }
 
-const NO_WORKERS: ReadonlySet<string> = new Set();
 const NO_RESOURCES: Resources = {cpu: 0, memoryMb: 0, accelerators: 0};
 
 /** The capacity with most accelerators. */
--- a/src/jobs/urgent_headroom.ts
+++ b/src/jobs/urgent_headroom.ts
@@ -17,6 +17,8 @@
 /** Time after which work is not held back while most workers are idle, in ms. */
 const MAX_IDLE_WAIT_MS = 2000;
 const MOST_WORKERS_SHARE = 0.5;
+/** Interval at which the workers are chosen, in ms; the choice reads all placed work. */
+const CHOICE_INTERVAL_MS = 500;
 
 /** A worker as the choice of the headroom sees it. */
 export interface HeadroomWorker {
@@ -69,19 +71,31 @@
 /** The workers that are kept for urgent work, by service. */
 export class UrgentHeadroom {
   private readonly kept = new Map<string, ReadonlySet<string>>();
+  private readonly chosenAtMs = new Map<string, number>();
 
   /** Number of workers that are kept, over all services. */
   get size(): number {
     return [...this.kept.values()].reduce((sum, kept) => sum + kept.size, 0);
   }
 
+  keptFor(service: string): ReadonlySet<string> {
+    return this.kept.get(service) ?? NO_WORKERS;
+  }
+
+  /** Whether the workers should be chosen anew; a pass is too short for that. */
+  isDue(service: string, nowMs: number): boolean {
+    const chosenAtMs = this.chosenAtMs.get(service) ?? -Infinity;
+    return nowMs - chosenAtMs >= CHOICE_INTERVAL_MS;
+  }
+
   choose(
     service: string,
     workers: readonly HeadroomWorker[],
     peakWorkers: number,
+    nowMs: number,
   ): ReadonlySet<string> {
-    const before = this.kept.get(service) ?? NO_WORKERS;
-    const kept = chooseHeadroom(workers, peakWorkers, before);
+    this.chosenAtMs.set(service, nowMs);
+    const kept = chooseHeadroom(workers, peakWorkers, this.keptFor(service));
     this.kept.set(service, kept);
     return kept;
   }
