Work waits no longer than before for its rack beside idle workers; arrivals are forgotten

Work whose rack alone could be in time waited for it up to its objective also when most workers were idle, where callers would wait beside free workers. And a service that gets urgent work only kept every arrival, as they were forgotten only when other work waited. Two scenarios.

--- a/src/jobs/planner.ts
+++ b/src/jobs/planner.ts
@@ -413,6 +413,7 @@
     afterMs: pass.pathAfterMs(unit),
     objectiveAtMs: objectiveAtMs(group),
     lateLimitAtMs: lateLimitAtMs(group),
+    useShare: pass.useShare(pass.serviceOf(unit)),
   });
 }
 
--- a/src/jobs/planning_pass.ts
+++ b/src/jobs/planning_pass.ts
@@ -62,6 +62,7 @@
   private readonly candidates = new Map<string, CandidateWorker[]>();
   private readonly taskCapacities = new Map<string, number>();
   private readonly criticalPaths = new Map<TrackedJob, number>();
+  private readonly useShares = new Map<string, number>();
   private readonly headrooms = new Map<string, ReadonlySet<string>>();
   private preemptible: PreemptibleUnit[] | undefined;
   /** Placed runs in the order in which they are expected to end. */
@@ -185,15 +186,17 @@
     return getOrAdd(this.headrooms, service, () => this.findHeadroom(service));
   }
 
-  /** Share of the accelerators of a service that is in use. */
+  /** Share of the accelerators of a service that was in use when it was first asked for. */
   useShare(service: string): number {
-    let used = 0;
-    let total = 0;
-    for (const {free, report} of this.input.pool.ofService(service)) {
-      total += report.capacity.accelerators;
-      used += report.capacity.accelerators - free.accelerators;
-    }
-    return total > 0 ? used / total : 0;
+    return getOrAdd(this.useShares, service, () => {
+      let used = 0;
+      let total = 0;
+      for (const {free, report} of this.input.pool.ofService(service)) {
+        total += report.capacity.accelerators;
+        used += report.capacity.accelerators - free.accelerators;
+      }
+      return total > 0 ? used / total : 0;
+    });
   }
 
   private findHeadroom(service: string): ReadonlySet<string> {
--- a/src/jobs/rack_patience.ts
+++ b/src/jobs/rack_patience.ts
@@ -8,6 +8,8 @@
 const OTHER_RACK_FACTOR = 3; // service terms
 /** Wait for the rack, as a fraction of the expected run time, if both places end in time. */
 const RACK_WAIT_SHARE = 0.5;
+/** Share of the accelerators in use below which work should not wait long. */
+const IDLE_USE_SHARE = 0.5; // service terms: work must not wait beside idle workers
 
 export interface RackChoice {
   /** Guaranteed work must begin soon, wherever it is. */
@@ -21,6 +23,8 @@
   readonly afterMs: number;
   readonly objectiveAtMs: number;
   readonly lateLimitAtMs: number;
+  /** Share of the accelerators of its service that is in use. */
+  readonly useShare: number;
 }
 
 /** Whether the tasks should be placed on other racks, if their own has no room now. */
@@ -31,7 +35,9 @@
   const patienceMs = RACK_WAIT_SHARE * runMs;
   const hasWaited = nowMs - choice.waitsSinceMs > patienceMs;
   if (endOnRackMs > lateLimitAtMs) return true;
-  if (choice.isGuaranteed || endElsewhereMs <= objectiveAtMs) return hasWaited;
+  const isIdle = choice.useShare < IDLE_USE_SHARE;
+  const isInTimeElsewhere = endElsewhereMs <= objectiveAtMs;
+  if (choice.isGuaranteed || isIdle || isInTimeElsewhere) return hasWaited;
   if (endOnRackMs <= objectiveAtMs) return false;
   // It ends late anywhere, so the rack is worth waiting for until elsewhere is too late.
   return endElsewhereMs + patienceMs > lateLimitAtMs;
--- a/src/jobs/urgent_demand.ts
+++ b/src/jobs/urgent_demand.ts
@@ -22,7 +22,13 @@
 export class UrgentDemand {
   private arrivals: UrgentArrival[] = [];
 
+  /** Number of arrivals that count. */
+  get size(): number {
+    return this.arrivals.length;
+  }
+
   record(arrival: UrgentArrival): void {
+    this.forgetBefore(arrival.atMs - WINDOW_MS);
     this.arrivals.push(arrival);
   }
 
@@ -31,7 +37,7 @@
    * on arrival, in workers of this capacity.
    */
   peakWorkers(service: string, capacity: Resources, nowMs: number): number {
-    this.arrivals = this.arrivals.filter(a => a.atMs > nowMs - WINDOW_MS);
+    this.forgetBefore(nowMs - WINDOW_MS);
     const ofService = this.arrivals.filter(a => a.service === service);
     let peak = 0;
     for (const {atMs} of ofService) {
@@ -42,6 +48,10 @@
     }
     return peak;
   }
+
+  private forgetBefore(atMs: number): void {
+    this.arrivals = this.arrivals.filter(a => a.atMs > atMs);
+  }
 }
 
 /** Largest fraction of the capacity that a request takes of any resource. */
--- a/tests/features/hard_load.feature
+++ b/tests/features/hard_load.feature
@@ -16,6 +16,11 @@
     And a batch job of 400 tasks of 9000 ms comes
     Then all accelerators are in use
 
+  # Guards against arrivals that pile up on a service that gets urgent work only.
+  Scenario: Arrivals are forgotten when they no longer count
+    When 1000 urgent arrivals come, one every 100 ms
+    Then 100 of them are known
+
   Scenario Outline: Which other work may use the room that is kept for urgent work
     Given work that needs 10000 ms, has waited <waited> ms and has <left> ms to its objective
     And <use> % of the accelerators are in use
@@ -57,3 +62,15 @@
       | other      | 9000   | -6000     | 2000  | may     |
       | guaranteed | 2000   | 4000      | 12000 | may     |
       | guaranteed | 1000   | 4000      | 12000 | may not |
+
+  # Guards against work that waits for its rack beside idle workers.
+  Scenario Outline: A gang waits no longer than half a run time while most workers are idle
+    Given other work that runs 3000 ms on its rack and has waited <waited> ms
+    And it has 4000 ms to its objective and 12000 ms to its late limit
+    And most workers are idle
+    Then it <may> use other racks
+
+    Examples:
+      | waited | may     |
+      | 2000   | may     |
+      | 1000   | may not |
--- a/tests/steps/hard_load_steps.ts
+++ b/tests/steps/hard_load_steps.ts
@@ -4,23 +4,21 @@
 import {LoadSimulation} from '../../harness/load_simulation.js';
 import {type Resources} from '../../src/jobs/job.js';
 import {mayUseOtherRacks} from '../../src/jobs/rack_patience.js';
+import {UrgentDemand} from '../../src/jobs/urgent_demand.js';
 import {
   type HeadroomWorker,
   type WaitingFiller,
   chooseHeadroom,
   staysOffHeadroom,
 } from '../../src/jobs/urgent_headroom.js';
-import {TEST_QUEUE, makeStep} from '../fixtures/job_cluster.js';
+import {
+  TEST_QUEUE,
+  URGENT_TEST_QUEUE,
+  makeStep,
+} from '../fixtures/job_cluster.js';
 
 const CAPACITY: Resources = {cpu: 64_000, memoryMb: 262_144, accelerators: 8};
 const NOTHING: Resources = {cpu: 0, memoryMb: 0, accelerators: 0};
-const URGENT = {
-  ...TEST_QUEUE,
-  name: 'urgent',
-  priority: 0,
-  stretch: 1.5,
-  targetMs: 250,
-};
 const BATCH = {
   ...TEST_QUEUE,
   name: 'batch',
@@ -57,7 +55,7 @@
 function startSimulation(workers: number): void {
   stops = [];
   simulation = new LoadSimulation({
-    queues: [URGENT, BATCH],
+    queues: [URGENT_TEST_QUEUE, BATCH],
     guarantees: {kiln: 64},
     workers,
     racks: workers / WORKERS_PER_RACK,
@@ -145,7 +143,8 @@
     simulation.advance(COMPLETION_TIME_MS);
     const runMs = {urgent: 2500, batch: batch.runMs};
     for (const job of simulation.jobTimestamps.values()) {
-      const {stretch, targetMs} = job.queue === URGENT.name ? URGENT : BATCH;
+      const {stretch, targetMs} =
+        job.queue === URGENT_TEST_QUEUE.name ? URGENT_TEST_QUEUE : BATCH;
       const limitMs =
         stretch * runMs[job.queue as 'urgent' | 'batch'] + targetMs;
       assert.ok(job.doneAtMs !== undefined, `${job.queue} job is not done`);
@@ -155,6 +154,27 @@
   },
 );
 
+let demand: UrgentDemand;
+
+When(
+  '{int} urgent arrivals come, one every {int} ms',
+  (arrivals: number, everyMs: number) => {
+    demand = new UrgentDemand();
+    for (let i = 0; i < arrivals; i++)
+      demand.record({
+        service: TEST_QUEUE.service,
+        atMs: i * everyMs,
+        count: 1,
+        request: CAPACITY,
+        runMs: 1000,
+      });
+  },
+);
+
+Then('{int} of them are known', (known: number) =>
+  assert.equal(demand.size, known),
+);
+
 let filler: WaitingFiller;
 
 Given(
@@ -214,10 +234,12 @@
 
 let rackWork: {isGuaranteed: boolean; runMs: number; waitedMs: number};
 let leftMs: {objective: number; limit: number};
+let rackUseShare: number;
 
 Given(
   /^(other|guaranteed) work that runs (\d+) ms on its rack and has waited (\d+) ms$/,
   (kind: string, runMs: string, waitedMs: string) => {
+    rackUseShare = 1;
     rackWork = {
       isGuaranteed: kind === 'guaranteed',
       runMs: Number(runMs),
@@ -233,6 +255,10 @@
   },
 );
 
+Given('most workers are idle', () => {
+  rackUseShare = 0.4;
+});
+
 Then(/^it (may|may not) use other racks$/, (may: string) => {
   const nowMs = 100_000;
   const {isGuaranteed, runMs, waitedMs} = rackWork;
@@ -244,6 +270,7 @@
     afterMs: 0,
     objectiveAtMs: nowMs + leftMs.objective,
     lateLimitAtMs: nowMs + leftMs.limit,
+    useShare: rackUseShare,
   });
   assert.equal(mayUse, may === 'may');
 });
--- a/tests/steps/load_steps.ts
+++ b/tests/steps/load_steps.ts
@@ -4,19 +4,16 @@
 import {LoadSimulation} from '../../harness/load_simulation.js';
 import {Random} from '../../src/core/random.js';
 import {type StepSpec} from '../../src/jobs/job.js';
-import {TEST_QUEUE, makeStep} from '../fixtures/job_cluster.js';
+import {
+  TEST_QUEUE,
+  URGENT_TEST_QUEUE,
+  makeStep,
+} from '../fixtures/job_cluster.js';
 
 const SEED = 20261204;
 const ACCELERATORS = 8;
 const GUARANTEED_ACCELERATORS = 48;
 const CAPACITY = {cpu: 64_000, memoryMb: 262_144, accelerators: ACCELERATORS};
-const URGENT = {
-  ...TEST_QUEUE,
-  name: 'urgent',
-  priority: 0,
-  stretch: 1.5,
-  targetMs: 250,
-};
 const BATCH = {...TEST_QUEUE, name: 'batch', priority: 2};
 /** Age of the batch runs when urgent work arrives; preemption discards their work. */
 const BATCH_AGE_MS = 3000;
@@ -35,7 +32,7 @@
 ): LoadSimulation {
   return new LoadSimulation({
     workerChecksPerMs,
-    queues: [URGENT, BATCH],
+    queues: [URGENT_TEST_QUEUE, BATCH],
     guarantees: {kiln: GUARANTEED_ACCELERATORS},
     workers,
     racks: 3,
@@ -159,7 +156,7 @@
   (stretch: number, waves: number, workMs: number) => {
     const {acceptedAtMs, doneAtMs} = simulation.jobTimestamps.get(ids[0])!;
     assert.ok(doneAtMs, 'the job is not done');
-    const limitMs = stretch * waves * workMs + URGENT.targetMs;
+    const limitMs = stretch * waves * workMs + URGENT_TEST_QUEUE.targetMs;
     assert.ok(doneAtMs - acceptedAtMs <= limitMs, String(doneAtMs));
   },
 );
--- a/tests/steps/objective_steps.ts
+++ b/tests/steps/objective_steps.ts
@@ -5,16 +5,14 @@
 import {JobEngine} from '../../src/jobs/job_engine.js';
 import {TaskState} from '../../src/jobs/job_rows.js';
 import {objectiveAtMs} from '../../src/jobs/placement_order.js';
-import {TEST_QUEUE, TEST_TABLES, makeStep} from '../fixtures/job_cluster.js';
+import {
+  TEST_QUEUE,
+  TEST_TABLES,
+  URGENT_TEST_QUEUE,
+  makeStep,
+} from '../fixtures/job_cluster.js';
 import {indexOf} from './job_steps.js';
 
-const URGENT = {
-  ...TEST_QUEUE,
-  name: 'urgent',
-  priority: 0,
-  stretch: 1.5,
-  targetMs: 250,
-};
 const BATCH = {...TEST_QUEUE, name: 'batch', priority: 2};
 
 const URGENT_RUN_MS = 2000;
@@ -31,7 +29,10 @@
 /** Restores the urgent job beside a batch run that fills the only worker. */
 When('a leader that has no room for it considers preemption', () => {
   const nowMs = 10_000;
-  const tables = {...TEST_TABLES, queues: new Map([[URGENT.name, URGENT]])};
+  const tables = {
+    ...TEST_TABLES,
+    queues: new Map([[URGENT_TEST_QUEUE.name, URGENT_TEST_QUEUE]]),
+  };
   const engine = new JobEngine(tables, {
     contactTimeoutMs: 1e9,
     endedJobRetentionMs: 1e9,
@@ -47,8 +48,8 @@
   engine.plan(nowMs);
   const urgent = {
     ...makeJob('j1', nowMs - retried.arrivedAgoMs),
-    queue: URGENT.name,
-    queueAtHandIn: URGENT,
+    queue: URGENT_TEST_QUEUE.name,
+    queueAtHandIn: URGENT_TEST_QUEUE,
     steps: [makeStep({estimateMs: URGENT_RUN_MS})],
   };
   const waiting = {...STOPPED_TASK, failures: retried.failures};
@@ -64,7 +65,7 @@
   (agoMs: string, preempts: string) => {
     const nowMs = 10_000;
     const objectiveMs = objectiveAtMs({
-      queue: URGENT,
+      queue: URGENT_TEST_QUEUE,
       arrivalMs: nowMs - retried.arrivedAgoMs,
       criticalPathMs: URGENT_RUN_MS,
       failedRunsMs: retried.failures * URGENT_RUN_MS,
