--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -23,6 +23,8 @@
 
 const ROOT = fileURLToPath(new URL('../..', import.meta.url));
 const RESTART_DELAY_MS = 500;
+/** Longest time that a case takes, in ms. */
+const CASE_TIMEOUT_MS = 115_000; // a case may run for 120 s
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 export const KEY = 'key-of-tenant-1';
 export const SECOND_KEY = 'key-of-tenant-2';
@@ -92,8 +94,9 @@
 }
 
 export class Deployment {
-  constructor(folder, {gates = 3, agents = 8, racks = 4} = {}) {
-    this.recordFile = join(folder, 'record.txt');
+  /** `recordFile` gets what was sent, answered and run. */
+  constructor(recordFile, {gates = 3, agents = 8, racks = 4} = {}) {
+    this.recordFile = recordFile;
     writeFileSync(this.recordFile, '');
     this.startedMs = performance.now();
     this.record = line => {
@@ -387,25 +390,38 @@
  */
 export async function runCase(metaUrl, options, play) {
   const folder = fileURLToPath(new URL('.', metaUrl));
+  const recordFile = process.env.RECORD ?? join(folder, 'record.txt');
   const hasTrouble = process.env.TROUBLE !== '0';
-  const deployment = new Deployment(folder, options);
-  const timer = setTimeout(() => {
-    deployment.record('the case took too long');
-    void deployment.close().then(() => process.exit(2));
-  }, 115_000);
+  let deployment;
+  /** Ends a case that could not run, with all that it started. */
+  const giveUp = reason => {
+    console.log(`the case could not run: ${reason}`);
+    deployment?.record(`the case could not run: ${reason}`);
+    void Promise.resolve(deployment?.close()).finally(() => process.exit(2));
+  };
+  process.once('SIGTERM', () => giveUp('it was ended from outside'));
+  process.once('SIGINT', () => giveUp('it was ended from outside'));
+  process.on('uncaughtException', err => giveUp(err.stack));
+  process.on('unhandledRejection', err => giveUp(err?.stack ?? err));
+  const timer = setTimeout(() => giveUp('it took too long'), CASE_TIMEOUT_MS);
   let code = 2;
   try {
+    deployment = new Deployment(recordFile, options);
+    deployment.record(
+      hasTrouble ? 'with the disruption' : 'TROUBLE=0: without the disruption',
+    );
     await deployment.start();
     const broken = await play(deployment, hasTrouble);
-    deployment.record(broken ? `RULE BROKEN: ${broken}` : 'the rule held');
-    console.log(broken ? `RULE BROKEN: ${broken}` : 'the rule held');
+    const line = broken ? `RULE BROKEN: ${broken}` : 'the rule held';
+    deployment.record(line);
+    console.log(line);
     code = broken ? 1 : 0;
   } catch (err) {
-    deployment.record(`the case could not run: ${err.stack}`);
+    deployment?.record(`the case could not run: ${err.stack}`);
     console.log(`the case could not run: ${err.message}`);
   }
   clearTimeout(timer);
-  await deployment.close({keepLogs: process.env.KEEP_LOGS === '1'});
+  await deployment?.close({keepLogs: process.env.KEEP_LOGS === '1'});
   process.exit(code);
 }
 
