A job counts as waiting until a worker has started one of its tasks

Cause: JobEntry.hasStarted took a run number for a start. The number is given with the placement, before the start is sent, and stays when the start is refused or never reaches a worker. A gate that looked the state up in the store took any task record for a start.

Change: a task record holds whether a worker has started a run of the task, as the agent's report or an end shows. Refusals and losses don't set it. Rows of earlier versions count from the placement. The rows that wait for a commit are in a module of their own (PendingRows).

--- a/src/gate/job_service.ts
+++ b/src/gate/job_service.ts
@@ -9,9 +9,11 @@
   fits,
 } from '../jobs/job.js';
 import {
+  decodeBlock,
   decodeJobResult,
   encodeCancellation,
   encodeJob,
+  hasStartedTask,
   rowKeys,
 } from '../jobs/job_rows.js';
 import {type ComponentLog} from '../plugins/event_log.js';
@@ -160,7 +162,10 @@
     if (cancel?.value && !(result?.value && result.version < cancel.version))
       return JobState.CANCELLED;
     if (result?.value) return decodeJobResult(result.value);
-    return blocks.rows.length > 0 ? JobState.RUNNING : JobState.PENDING;
+    const hasStarted = blocks.rows.some(
+      ({value}) => value && hasStartedTask(decodeBlock(value)),
+    );
+    return hasStarted ? JobState.RUNNING : JobState.PENDING;
   }
 
   private async tryCancel(
--- a/src/gate/leader_role.ts
+++ b/src/gate/leader_role.ts
@@ -217,10 +217,10 @@
     this.sendOrders(term, term.engine.takeOrders());
     // While leadership is being released, the rest is left to the successor.
     if (this.isCommitting || this.isReleasing) return;
-    const batch = term.engine.takeBatch();
     const nowMs = this.ctx.clock.nowMs();
     const isDue =
       nowMs - term.committedAt.nowMs >= this.ctx.maxCommitIntervalMs;
+    const batch = term.engine.takeBatch(isDue);
     if (!batch && !isDue) return;
     const writes = batch ? batch.puts.length + batch.removes.length : 0;
     if (batch && writes === 0 && !isDue) {
--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -5,7 +5,6 @@
  * exist.
  */
 import {getOrAdd} from '../core/fair_queue.js';
-import {type RowValue} from '../ports/state_store.js';
 import {RunEndKind, type RunRef} from '../ports/task_worker.js';
 import {
   type AddressedOrder,
@@ -51,6 +50,7 @@
 import {ServiceCapacities} from './service_capacities.js';
 import {UrgentDemand} from './urgent_demand.js';
 import {UrgentHeadroom} from './urgent_headroom.js';
+import {PendingRows, type RowChanges} from './pending_rows.js';
 import {isStalled} from './run_progress.js';
 import {
   JobResult,
@@ -87,10 +87,6 @@
 const STALL_CHECK_INTERVAL_MS = 500; // the report interval of agents
 /** Time after a takeover in which agents report their workers, in ms. */
 const PREEMPTION_DELAY_MS = 700; // one report interval, and 0.2 s to answer it
-/** Maximum number of rows in a batch; the leader row is added to each batch. */
-const MAX_BATCH_ROWS = 90;
-/** Size of the row values after which a batch takes no more rows, in bytes. */
-const MAX_BATCH_BYTES = 500_000; // a transaction holds 1 MB of base64
 
 /** What the leader takes as proof that the runs of a worker are over. */
 export const LossProof = {
@@ -138,9 +134,7 @@
   readonly onDiscarded?: (cause: string, lostCoreMs: number) => void;
 }
 
-export interface Batch {
-  readonly puts: readonly RowValue[];
-  readonly removes: readonly string[];
+export interface Batch extends RowChanges {
   /** Orders to send after the rows are committed. */
   readonly orders: readonly AddressedOrder[];
 }
@@ -167,8 +161,7 @@
   private readonly departedWorkers = new Set<string>();
   /** Data centres in which nothing is started. */
   private evacuated = NO_EVACUATIONS;
-  private readonly dirtyRows = new Map<string, () => Uint8Array>();
-  private readonly rowsToRemove = new Set<string>();
+  private readonly pendingRows = new PendingRows();
   private readonly expiredJobIds = new Set<string>();
   private ordersAwaitingCommit: AddressedOrder[] = [];
   private stallCheckedAtMs = 0;
@@ -278,7 +271,7 @@
 
   private recordCapacity({service, capacity}: WorkerReport): void {
     if (!this.capacities.add(service, capacity)) return;
-    this.dirtyRows.set(rowKeys.capacities(service), () =>
+    this.pendingRows.put(rowKeys.capacities(service), () =>
       encodeCapacities(this.capacities.of(service)),
     );
   }
@@ -296,6 +289,7 @@
       if (!task) continue;
       task.statusAtMs = nowMs;
       task.isAgeUnknown = false;
+      if (status.isRunning) this.recordStarted(task, nowMs);
       if (status.isRunning && task.runningSinceMs === 0) {
         task.runningSinceMs = nowMs - this.expectedRanMs(task, status.percent);
         task.progressAtMs = nowMs;
@@ -310,6 +304,25 @@
     }
   }
 
+  /**
+   * Records that a worker has started the task. Only the first start of a job changes what
+   * callers see, so the others are stored with the next change of their rows.
+   */
+  private recordStarted(task: TrackedTask, nowMs: number): void {
+    task.hasStarted = true;
+    const {job} = task.step.occurrence;
+    if (job.hasStarted) return;
+    job.hasStarted = true;
+    this.pendingRows.defer(...blockRowOf(task));
+    this.log({
+      event: 'jobStarted',
+      job: job.spec.id,
+      task: task.name,
+      run: task.run,
+      ms: Math.round(nowMs - job.acceptedAtMs),
+    });
+  }
+
   /** Time that a run with this progress has run, as another leader may have started it. */
   private expectedRanMs(task: TrackedTask, percent: number): number {
     const {spec, occurrence} = task.step;
@@ -510,31 +523,17 @@
     return orders;
   }
 
-  /** Returns the next rows to commit, with the orders that wait for them. */
-  takeBatch(): Batch | undefined {
-    if (
-      this.dirtyRows.size +
-        this.rowsToRemove.size +
-        this.ordersAwaitingCommit.length ===
-      0
-    )
-      return undefined;
-    const puts: RowValue[] = [];
-    let bytes = 0;
-    for (const [key, encode] of this.dirtyRows) {
-      if (puts.length >= MAX_BATCH_ROWS || bytes >= MAX_BATCH_BYTES) break;
-      const value = encode();
-      puts.push({key, value});
-      bytes += value.length;
-      this.dirtyRows.delete(key);
-    }
-    const removes = [...this.rowsToRemove].slice(
-      0,
-      MAX_BATCH_ROWS - puts.length,
-    );
-    for (const key of removes) this.rowsToRemove.delete(key);
-    const orders = this.dirtyRows.size === 0 ? this.ordersAwaitingCommit : [];
-    if (this.dirtyRows.size === 0) this.ordersAwaitingCommit = [];
+  /**
+   * Returns the next rows to commit, with the orders that wait for them.
+   *
+   * @param isCommitDue Whether a commit is made in any case, so that it takes deferred rows.
+   */
+  takeBatch(isCommitDue = false): Batch | undefined {
+    const {puts, removes} = this.pendingRows.take(isCommitDue);
+    const mayOrder = !this.pendingRows.hasMorePuts;
+    const orders = mayOrder ? this.ordersAwaitingCommit : [];
+    if (puts.length + removes.length + orders.length === 0) return undefined;
+    if (mayOrder) this.ordersAwaitingCommit = [];
     return {puts, removes, orders};
   }
 
@@ -603,7 +602,7 @@
     const job = this.jobs.get(id);
     if (!this.expiredJobIds.delete(id) || !job) return;
     for (const key of [rowKeys.jobResult(id), ...blockKeysOf(job)])
-      this.rowsToRemove.add(key);
+      this.pendingRows.remove(key);
     for (const task of job.tasks) this.tasks.delete(task.name);
     this.jobs.delete(id);
   }
@@ -627,6 +626,7 @@
     const job = makeJob(spec, nowMs, wallMs);
     this.jobs.set(id, job);
     job.isEnded = entry.result !== undefined || entry.isCancelled;
+    job.hasStarted = entry.hasStarted;
     job.endedAtMs = nowMs;
     for (const key of entry.blocks.keys()) {
       const occurrence = Number(key.slice(0, key.indexOf('.')));
@@ -944,6 +944,7 @@
 
   private recordRunEnd(task: TrackedTask, end: EndReport, nowMs: number): void {
     const isDone = end.kind === RunEndKind.DONE;
+    this.recordStarted(task, nowMs);
     this.log({
       event: 'runEnded',
       task: task.name,
@@ -1057,7 +1058,7 @@
     nowMs: number,
     cause?: string,
   ): void {
-    this.dirtyRows.set(rowKeys.jobResult(job.spec.id), () =>
+    this.pendingRows.put(rowKeys.jobResult(job.spec.id), () =>
       encodeJobResult(result),
     );
     this.endJob(job, nowMs);
@@ -1088,9 +1089,9 @@
 
   /** Removes the records of a job whose caller rows have already been removed. */
   private removeOrphanedRows(id: string, entry: JobEntry): void {
-    if (entry.result) this.rowsToRemove.add(rowKeys.jobResult(id));
+    if (entry.result) this.pendingRows.remove(rowKeys.jobResult(id));
     for (const key of entry.blocks.keys())
-      this.rowsToRemove.add(blockRowKey(id, key));
+      this.pendingRows.remove(blockRowKey(id, key));
   }
 
   private recordCheckpoint(task: TrackedTask, checkpoint: string): void {
@@ -1102,11 +1103,7 @@
   }
 
   private markDirty(task: TrackedTask): void {
-    const {step} = task;
-    const ref = step.blockOf(task);
-    this.dirtyRows.set(rowKeys.block(ref), () =>
-      encodeBlock(step.recordsOf(ref.block)),
-    );
+    this.pendingRows.put(...blockRowOf(task));
   }
 
   private allocate(trackedWorker: TrackedWorker, task: TrackedTask): void {
@@ -1207,6 +1204,13 @@
   return new Set(job.tasks.map(t => rowKeys.block(t.step.blockOf(t))));
 }
 
+/** Key of the row that holds the record of the task, and the encoder of its value. */
+function blockRowOf(task: TrackedTask): [key: string, () => Uint8Array] {
+  const {step} = task;
+  const ref = step.blockOf(task);
+  return [rowKeys.block(ref), () => encodeBlock(step.recordsOf(ref.block))];
+}
+
 function stopOrder(worker: string, {task, run}: RunRef): Order {
   return {type: 'stop', worker, task, run};
 }
--- a/src/jobs/job_index.ts
+++ b/src/jobs/job_index.ts
@@ -16,6 +16,7 @@
   decodeDeparture,
   decodeJobResult,
   decodeJob,
+  hasStartedTask,
 } from './job_rows.js';
 
 /** Rows of one job, decoded. */
@@ -34,7 +35,7 @@
   }
 
   get hasStarted(): boolean {
-    return [...this.blocks.values()].some(b => b.some(t => t.run > 0));
+    return [...this.blocks.values()].some(hasStartedTask);
   }
 
   get state(): JobState {
--- a/src/jobs/job_rows.ts
+++ b/src/jobs/job_rows.ts
@@ -29,6 +29,11 @@
   readonly failures: number;
   /** Crashes of workers under the task; none if absent. */
   readonly crashes?: CrashCounts;
+  /**
+   * Whether a worker is known to have started a run of the task. A placement alone does not
+   * show that. Absent in rows of earlier versions.
+   */
+  readonly hasStarted?: boolean;
 }
 
 export const UNSTARTED_TASK: TaskRecord = {
@@ -37,8 +42,14 @@
   worker: '',
   checkpoint: '',
   failures: 0,
+  hasStarted: false,
 };
 
+/** Whether a run of one of the tasks has started; rows of earlier versions only show placements. */
+export function hasStartedTask(tasks: readonly TaskRecord[]): boolean {
+  return tasks.some(t => t.hasStarted ?? t.run > 0);
+}
+
 /** Result of an ended job. A cancellation is stored in a separate row. */
 export const JobResult = {COMPLETED: 'completed', FAILED: 'failed'} as const;
 export type JobResult = (typeof JobResult)[keyof typeof JobResult];
@@ -174,9 +185,10 @@
     z.string(),
     z.string(),
     z.number(),
-    // Crashes in all and alone; absent in rows of earlier versions.
+    // Crashes in all and alone, and whether it has started; absent in rows of earlier versions.
     z.number().optional(),
     z.number().optional(),
+    z.boolean().optional(),
   ]),
 );
 
@@ -220,27 +232,33 @@
 
 export function encodeBlock(tasks: readonly TaskRecord[]): Uint8Array {
   return packr.pack(
-    tasks.map(({state, run, worker, checkpoint, failures, crashes}) => [
-      state,
-      run,
-      worker,
-      checkpoint,
-      failures,
-      ...(crashes && crashes.total > 0 ? [crashes.total, crashes.alone] : []),
+    tasks.map(({crashes = NO_CRASHES, hasStarted, ...task}) => [
+      task.state,
+      task.run,
+      task.worker,
+      task.checkpoint,
+      task.failures,
+      crashes.total,
+      crashes.alone,
+      ...(hasStarted === undefined ? [] : [hasStarted]),
     ]),
   );
 }
 
 export function decodeBlock(value: Uint8Array): TaskRecord[] {
   return decode('run', value, blockSchema).map(
-    ([state, run, worker, checkpoint, failures, total = 0, alone = 0]) => ({
-      state,
-      run,
-      worker,
-      checkpoint,
-      failures,
-      crashes: total > 0 ? {total, alone} : NO_CRASHES,
-    }),
+    ([state, run, worker, checkpoint, failures, ...added]) => {
+      const [total = 0, alone = 0, hasStarted] = added;
+      return {
+        state,
+        run,
+        worker,
+        checkpoint,
+        failures,
+        crashes: total > 0 ? {total, alone} : NO_CRASHES,
+        ...(hasStarted === undefined ? {} : {hasStarted}),
+      };
+    },
   );
 }
 
--- a/src/jobs/tracked_job.ts
+++ b/src/jobs/tracked_job.ts
@@ -20,6 +20,7 @@
   TaskState,
   type TaskRecord,
   UNSTARTED_TASK,
+  hasStartedTask,
 } from './job_rows.js';
 import {type RunRef} from '../ports/task_worker.js';
 
@@ -41,6 +42,8 @@
   checkpoint: string;
   failures: number;
   crashes: CrashCounts;
+  /** Whether a worker is known to have started a run of the task. */
+  hasStarted: boolean;
   crashedAfterMs = 0;
   /**
    * When the newest run was placed, in ms of the monotonic clock; -Infinity if an earlier
@@ -79,6 +82,7 @@
     this.checkpoint = record.checkpoint;
     this.failures = record.failures;
     this.crashes = record.crashes ?? NO_CRASHES;
+    this.hasStarted = hasStartedTask([record]);
     this.name = formatTaskName({
       job: step.occurrence.job.spec.id,
       occurrence: step.occurrence.number,
@@ -101,8 +105,9 @@
   }
 
   get record(): TaskRecord {
-    const {state, run, worker, checkpoint, failures, crashes} = this;
-    return {state, run, worker, checkpoint, failures, crashes};
+    const {state, run, worker, checkpoint, failures} = this;
+    const {crashes, hasStarted} = this;
+    return {state, run, worker, checkpoint, failures, crashes, hasStarted};
   }
 
   /** Returns the task to the waiting state and keeps its run number. */
@@ -295,6 +300,8 @@
   /** Whether it is completed, failed or cancelled, so that no more tasks start. */
   isEnded = false;
   endedAtMs = 0;
+  /** Whether a run of one of its tasks is known to have started. */
+  hasStarted = false;
 
   constructor(
     readonly spec: JobSpec,
