A job that is cancelled before it is stored does not run

The client had submitted the job at another gate and left without an answer.

Cause: JobService.tryCancel looked the job up in the store and answered `absent` without a trace there. The other gate then sent its write again, and the job was stored. A write that the store carries out late, or a client that submits again, does the same.

Change: the cancellation row is stored before 410 is answered, on condition that neither row exists; if the job is stored already, it is cancelled as usual. Both rows lie in one partition, so the store decides the race. The leader never places a job whose cancellation is stored, after a takeover neither. Such a job is answered 200 and shown as `cancelled`; without a submission it is shown to nobody. An unknown job now costs a write in place of four reads.

"A submission is carried out after the cancellation of its job", "A client submits its job again after it was cancelled, at another leader", "A job that is stored late keeps its cancellation" and "A gate's copy of the rows forgets a job with its cancellation" failed before.

--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -305,7 +305,7 @@
       return;
     }
     this.jobIndex.apply(kind, row);
-    this.forwardToEngine(kind, nowMs);
+    if (row.value) this.forwardToEngine(kind, nowMs);
   }
 
   /** Tells the linked agents which gate leads, whenever that changes. */
--- a/src/gate/job_service.ts
+++ b/src/gate/job_service.ts
@@ -18,7 +18,7 @@
 } from '../jobs/job_rows.js';
 import {type ComponentLog} from '../plugins/event_log.js';
 import {type Metrics} from '../plugins/metrics.js';
-import {type StateStore} from '../ports/state_store.js';
+import {type StateStore, type TransactionResult} from '../ports/state_store.js';
 
 /** Maximum age of the row copy for answering callers, in ms. */
 const MAX_COPY_AGE_MS = 2000; // callers must see a job within 3 s of its submission
@@ -168,18 +168,46 @@
     return hasStarted ? JobState.RUNNING : JobState.PENDING;
   }
 
-  private async tryCancel(
+  private tryCancel(id: string, timeoutMs: number): Promise<CancelResult> {
+    const entry: JobEntry | undefined = this.jobIndex.jobs.get(id);
+    if (!entry?.spec) return this.cancelUnknown(id, timeoutMs);
+    if (entry.cancelledAtVersion !== undefined || entry.result)
+      return Promise.resolve('cancelled');
+    return this.cancelStored(id, timeoutMs);
+  }
+
+  /**
+   * Cancels a job that the copy of the rows does not contain. The cancellation is stored even
+   * if the store has no such job: a submission that is still under way, at any gate, may store
+   * the job later, and it must not run then.
+   */
+  private async cancelUnknown(
+    id: string,
+    timeoutMs: number,
+  ): Promise<CancelResult> {
+    const startMs = this.ctx.clock.nowMs();
+    const jobKey = rowKeys.job(id);
+    const key = rowKeys.cancellation(id);
+    const result = await this.store.transact(
+      {
+        expect: [jobKey, key].map(k => ({key: k, version: 0})),
+        put: [{key, value: encodeCancellation()}],
+        remove: [],
+      },
+      timeoutMs,
+    );
+    if (result.type === 'committed') return 'absent';
+    if (result.type !== 'conflict') return toCancelResult(result);
+    const stored = new Set(result.rows.filter(r => r.value).map(r => r.key));
+    if (stored.has(key)) return stored.has(jobKey) ? 'cancelled' : 'absent';
+    const leftMs = timeoutMs - (this.ctx.clock.nowMs() - startMs);
+    return this.cancelStored(id, leftMs);
+  }
+
+  private async cancelStored(
     id: string,
     timeoutMs: number,
   ): Promise<CancelResult> {
-    const entry: JobEntry | undefined = this.jobIndex.jobs.get(id);
-    if (entry?.cancelledAtVersion !== undefined || entry?.result)
-      return 'cancelled';
-    if (!entry?.spec) {
-      const lookup = await this.getState(id);
-      if (lookup.type !== 'found')
-        return lookup.type === 'absent' ? 'absent' : 'unavailable';
-    }
     const key = rowKeys.cancellation(id);
     const result = await this.store.transact(
       {
@@ -189,12 +217,16 @@
       },
       timeoutMs,
     );
-    if (result.type === 'refused') return 'unavailable';
-    if (result.type === 'unknown') return 'unknown';
-    return 'cancelled';
+    return toCancelResult(result);
   }
 }
 
+/** A conflict means that the cancellation is already stored. */
+function toCancelResult({type}: TransactionResult): CancelResult {
+  if (type === 'refused') return 'unavailable';
+  return type === 'unknown' ? 'unknown' : 'cancelled';
+}
+
 function fitsAny(step: StepSpec, capacities: readonly Resources[]): boolean {
   return capacities.some(c => fits(step.request, c));
 }
--- a/src/gate/leader_role.ts
+++ b/src/gate/leader_role.ts
@@ -20,6 +20,7 @@
   type LeaderRow,
   decodeLeaderRow,
   encodeLeaderRow,
+  parseRowKey,
   rowKeys,
 } from '../jobs/job_rows.js';
 import {type PassSize} from '../jobs/planner.js';
@@ -82,7 +83,7 @@
   private isReleasing = false;
   private isFlushScheduled = false;
   private readonly planningSchedule = new PlanningSchedule();
-  private isRemovingJob = false;
+  private isRemovingRows = false;
   private evacuated = NO_EVACUATIONS;
 
   constructor(
@@ -163,7 +164,7 @@
     const {engine} = this;
     if (engine) {
       engine.tick(nowMs, this.ctx.clock.wallMs());
-      void this.removeExpiredJob(engine);
+      void this.removeExpiredRows(engine);
       this.planIfDue(engine);
       this.flushEngine();
     } else if (
@@ -309,14 +310,22 @@
     this.flushEngine();
   }
 
+  /** Removes callers' rows that are older than the retention of ended jobs. */
+  private async removeExpiredRows(engine: JobEngine): Promise<void> {
+    if (this.isRemovingRows) return;
+    this.isRemovingRows = true;
+    await this.removeExpiredJob(engine);
+    await this.removeExpiredCancellations(engine);
+    this.isRemovingRows = false;
+  }
+
   /**
    * Removes the job and cancellation rows of an expired job. Only then may the engine
    * remove its run and end records: a job row without an end record would run again.
    */
   private async removeExpiredJob(engine: JobEngine): Promise<void> {
     const [id] = engine.expiredJobs;
-    if (id === undefined || this.isRemovingJob) return;
-    this.isRemovingJob = true;
+    if (id === undefined) return;
     const result = await this.store.transact(
       {
         expect: [],
@@ -325,11 +334,32 @@
       },
       COMMIT_TIMEOUT_MS,
     );
-    this.isRemovingJob = false;
     if (result.type === 'committed') engine.removeJobRecords(id);
     this.ctx.log.logEvent('jobForgotten', {job: id, result: result.type});
   }
 
+  /** Removes cancellations whose jobs never came. */
+  private async removeExpiredCancellations(engine: JobEngine): Promise<void> {
+    const jobs = engine.expiredCancellations(this.ctx.clock.nowMs());
+    if (jobs.length === 0) return;
+    const result = await this.store.transact(
+      {
+        // A job that has been stored meanwhile needs its cancellation.
+        expect: jobs.map(id => ({key: rowKeys.job(id), version: 0})),
+        put: [],
+        remove: jobs.map(rowKeys.cancellation),
+      },
+      COMMIT_TIMEOUT_MS,
+    );
+    if (result.type === 'committed') engine.forgetCancellations(jobs);
+    if (result.type === 'conflict')
+      engine.forgetCancellations(storedJobs(result.rows));
+    this.ctx.log.logEvent('cancellationsForgotten', {
+      count: jobs.length,
+      result: result.type,
+    });
+  }
+
   private releaseOrders(
     term: LeadershipTerm,
     orders: readonly AddressedOrder[],
@@ -393,6 +423,13 @@
   return stored && isOwnCommit(stored, row) ? stored.version : undefined;
 }
 
+function storedJobs(rows: readonly StoredRow[]): string[] {
+  return rows.flatMap(({key, value}) => {
+    const kind = parseRowKey(key);
+    return value && kind?.kind === 'job' ? [kind.job] : [];
+  });
+}
+
 function isOwnCommit(stored: StoredRow, row: LeaderRow): boolean {
   if (!stored.value) return false;
   const storedLeader = decodeLeaderRow(stored.value);
--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -21,6 +21,7 @@
   isCleared,
   isGivenUp,
 } from './crash_suspects.js';
+import {EarlyCancellations} from './early_cancellations.js';
 import {NO_EVACUATIONS} from './evacuations.js';
 import {type JobIndex, type JobEntry} from './job_index.js';
 import {
@@ -163,6 +164,7 @@
   private evacuated = NO_EVACUATIONS;
   private readonly pendingRows = new PendingRows();
   private readonly expiredJobIds = new Set<string>();
+  private readonly earlyCancellations = new EarlyCancellations();
   private ordersAwaitingCommit: AddressedOrder[] = [];
   private stallCheckedAtMs = 0;
   /** Time before which nothing is preempted, in ms of the monotonic clock. */
@@ -201,12 +203,16 @@
     if (this.jobs.has(spec.id)) return;
     const job = makeJob(spec, nowMs, wallMs);
     this.jobs.set(spec.id, job);
+    this.earlyCancellations.delete(spec.id);
     this.log({event: 'jobKnown', job: spec.id, reason: describeSteps(spec)});
     this.openDueOccurrences(job, nowMs, wallMs);
   }
 
+  /** Cancels a job. The cancellation of a job that is not stored is kept for a while. */
   cancelJob(id: string, nowMs: number): void {
     const job = this.jobs.get(id);
+    if (!job && this.earlyCancellations.add(id, nowMs))
+      this.log({event: 'cancelledEarly', job: id});
     if (!job || job.isEnded) return;
     this.endJob(job, nowMs);
     this.log({event: 'jobCancelled', job: id});
@@ -597,6 +603,17 @@
     return this.expiredJobIds;
   }
 
+  /** Jobs that were cancelled, but not stored within the retention of ended jobs. */
+  expiredCancellations(nowMs: number): string[] {
+    const {endedJobRetentionMs} = this.options;
+    return this.earlyCancellations.olderThan(endedJobRetentionMs, nowMs);
+  }
+
+  /** Called when the cancellations of these jobs, which were never stored, are removed. */
+  forgetCancellations(jobs: readonly string[]): void {
+    for (const job of jobs) this.earlyCancellations.delete(job);
+  }
+
   /** Removes the records of a job after the rows of its caller have been removed. */
   removeJobRecords(id: string): void {
     const job = this.jobs.get(id);
@@ -622,7 +639,10 @@
     wallMs: number,
   ): void {
     const {spec} = entry;
-    if (!spec) return this.removeOrphanedRows(id, entry);
+    if (!spec) {
+      if (entry.isCancelled) this.earlyCancellations.add(id, nowMs);
+      return this.removeOrphanedRows(id, entry);
+    }
     const job = makeJob(spec, nowMs, wallMs);
     this.jobs.set(id, job);
     job.isEnded = entry.result !== undefined || entry.isCancelled;
--- a/src/jobs/job_index.ts
+++ b/src/jobs/job_index.ts
@@ -84,7 +84,9 @@
     }
     const id = kind.kind === 'run' ? kind.ref.job : kind.job;
     if (row.value === undefined) {
-      if (kind.kind === 'job') this.jobs.delete(id);
+      const isOfUnknownJob = !this.jobs.get(id)?.spec;
+      if (kind.kind === 'job' || (kind.kind === 'cancel' && isOfUnknownJob))
+        this.jobs.delete(id);
       return;
     }
     const entry = getOrAdd(this.jobs, id, () => new JobEntry());
--- a/tests/steps/leadership_steps.ts
+++ b/tests/steps/leadership_steps.ts
@@ -70,41 +70,51 @@
   return jobIndex;
 }
 
+/** Starts a leader that knows the jobs of this index. */
+export async function startLeader(
+  store: MemoryStateStore,
+  jobIndex: JobIndex,
+  endedJobRetentionMs: number,
+): Promise<LeaderRole> {
+  const clock = new SystemClock();
+  const log = new EventLog('gate-0', clock, new SilentOutput());
+  const times = {takeoverMs: 2000, spreadMs: 0, weaknessDelayMs: 0};
+  const election = new LeaderElection(times, clock.nowMs(), () => 0);
+  const leaderRole = new LeaderRole(
+    store,
+    election,
+    jobIndex,
+    TEST_TABLES,
+    {onOrders: () => undefined, onLeadershipChange: () => undefined},
+    {
+      clock,
+      random: new Random(1),
+      log: log.forComponent('seat'),
+      metrics: new Metrics(),
+      incarnation: 'gate-0-1',
+      address: () => '127.0.0.1:7000',
+      engineOptions: {
+        contactTimeoutMs: 10_000,
+        endedJobRetentionMs,
+        onEvent: () => undefined,
+      },
+      maxCommitIntervalMs: 500,
+      takeoverMs: times.takeoverMs,
+    },
+  );
+  leaderRole.tick(clock.nowMs());
+  while (!leaderRole.engine) {
+    await sleep(COMMIT_MS);
+    leaderRole.onSynced(Infinity);
+  }
+  return leaderRole;
+}
+
 Given(
   'a leader that has the results of {int} jobs to commit',
   async (jobs: number) => {
-    const clock = new SystemClock();
-    const log = new EventLog('gate-0', clock, new SilentOutput());
-    const times = {takeoverMs: 2000, spreadMs: 0, weaknessDelayMs: 0};
-    const election = new LeaderElection(times, clock.nowMs(), () => 0);
     store = new SlowStore(new RowTable());
-    leaderRole = new LeaderRole(
-      store,
-      election,
-      indexOfDoneJobs(jobs),
-      TEST_TABLES,
-      {onOrders: () => undefined, onLeadershipChange: () => undefined},
-      {
-        clock,
-        random: new Random(1),
-        log: log.forComponent('seat'),
-        metrics: new Metrics(),
-        incarnation: 'gate-0-1',
-        address: () => '127.0.0.1:7000',
-        engineOptions: {
-          contactTimeoutMs: 10_000,
-          endedJobRetentionMs: 60_000,
-          onEvent: () => undefined,
-        },
-        maxCommitIntervalMs: 500,
-        takeoverMs: times.takeoverMs,
-      },
-    );
-    leaderRole.tick(clock.nowMs());
-    while (!leaderRole.engine) {
-      await sleep(COMMIT_MS);
-      leaderRole.onSynced(1);
-    }
+    leaderRole = await startLeader(store, indexOfDoneJobs(jobs), 60_000);
   },
 );
 
