Work waits at most 2 s for its rack beside idle workers, and 1.2 s if it is guaranteed

Cause: mayUseOtherRacks waited half of the expected run time also while most workers were idle, and for guaranteed work, which must begin in 2.7 s: with 10 s to run it waited 5 s beside free workers.

Change: the wait is at most 2 s while less than half of the service is in use, and at most 1.2 s for guaranteed work. The share in use is that of the processors where no worker has accelerators; such a service always counted as idle.

--- a/src/jobs/planning_pass.ts
+++ b/src/jobs/planning_pass.ts
@@ -186,16 +186,22 @@
     return getOrAdd(this.headrooms, service, () => this.findHeadroom(service));
   }
 
-  /** Share of the accelerators of a service that was in use when it was first asked for. */
+  /**
+   * Share of the accelerators of a service that was in use when it was first asked for; that
+   * of the processors if its workers have no accelerators.
+   */
   useShare(service: string): number {
     return getOrAdd(this.useShares, service, () => {
-      let used = 0;
-      let total = 0;
+      const used = {...NO_RESOURCES};
+      const total = {...NO_RESOURCES};
       for (const {free, report} of this.input.pool.ofService(service)) {
-        total += report.capacity.accelerators;
-        used += report.capacity.accelerators - free.accelerators;
+        for (const resource of ['accelerators', 'cpu'] as const) {
+          total[resource] += report.capacity[resource];
+          used[resource] += report.capacity[resource] - free[resource];
+        }
       }
-      return total > 0 ? used / total : 0;
+      const resource = total.accelerators > 0 ? 'accelerators' : 'cpu';
+      return total[resource] > 0 ? used[resource] / total[resource] : 0;
     });
   }
 
--- a/src/jobs/rack_patience.ts
+++ b/src/jobs/rack_patience.ts
@@ -9,7 +9,11 @@
 /** Wait for the rack, as a fraction of the expected run time, if both places end in time. */
 const RACK_WAIT_SHARE = 0.5;
 /** Share of the accelerators in use below which work should not wait long. */
-const IDLE_USE_SHARE = 0.5; // service terms: work must not wait beside idle workers
+const IDLE_USE_SHARE = 0.5;
+/** Longest wait for the rack while most workers are idle, in ms. */
+const MAX_IDLE_WAIT_MS = 2000; // service terms: 3 s, which include its placement and start
+/** Longest wait for the rack of guaranteed work, in ms. */
+const MAX_GUARANTEED_WAIT_MS = 1200; // it must begin in 2.7 s; stops of others take 0.6 s
 
 export interface RackChoice {
   /** Guaranteed work must begin soon, wherever it is. */
@@ -33,11 +37,13 @@
   const endOnRackMs = nowMs + runMs + afterMs;
   const endElsewhereMs = nowMs + OTHER_RACK_FACTOR * runMs + afterMs;
   const patienceMs = RACK_WAIT_SHARE * runMs;
-  const hasWaited = nowMs - choice.waitsSinceMs > patienceMs;
+  const waitedMs = nowMs - choice.waitsSinceMs;
   if (endOnRackMs > lateLimitAtMs) return true;
-  const isIdle = choice.useShare < IDLE_USE_SHARE;
-  const isInTimeElsewhere = endElsewhereMs <= objectiveAtMs;
-  if (choice.isGuaranteed || isIdle || isInTimeElsewhere) return hasWaited;
+  if (choice.isGuaranteed)
+    return waitedMs > Math.min(patienceMs, MAX_GUARANTEED_WAIT_MS);
+  if (choice.useShare < IDLE_USE_SHARE)
+    return waitedMs > Math.min(patienceMs, MAX_IDLE_WAIT_MS);
+  if (endElsewhereMs <= objectiveAtMs) return waitedMs > patienceMs;
   if (endOnRackMs <= objectiveAtMs) return false;
   // It ends late anywhere, so the rack is worth waiting for until elsewhere is too late.
   return endElsewhereMs + patienceMs > lateLimitAtMs;
