A gate asks the store for an answer at once after an outage

Cause: RowFollower's first poll after a failure asked the store to wait up to 0.5 s for changes, like any poll, and a poll that got no answer was given up only after that time and 0.6 s more.

Change: a poll after a failure asks for an answer at once.

"A gate asks for an answer at once after an outage" failed before.

--- a/src/gate/row_follower.ts
+++ b/src/gate/row_follower.ts
@@ -77,7 +77,8 @@
   private async pollOnce(): Promise<void> {
     const requestedAt = readClocks(this.ctx.clock);
     if (this.version < 0) return this.readAll(requestedAt);
-    const waitMs = this.pollWait.nextMs;
+    // After a failure the copy is old, so the store should answer at once.
+    const waitMs = this.failures > 0 ? 0 : this.pollWait.nextMs;
     const changes = await this.store.changes(this.version, waitMs);
     if (changes === 'historyLost') {
       this.ctx.log.logEvent('historyLost', {version: this.version});
