--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -13,6 +13,7 @@
   type WorkerCrash,
 } from '../jobs/engine_messages.js';
 import {EvacuationKnowledge, maxNoticeAgeMs} from '../jobs/evacuations.js';
+import {StoreContact} from '../jobs/store_contact.js';
 import {type WorkerReport, workerKey} from '../jobs/worker_pool.js';
 import {type ComponentLog, type EventLog} from '../plugins/event_log.js';
 import {LoopDelayMonitor} from '../plugins/loop_delay_monitor.js';
@@ -88,6 +89,7 @@
   private readonly contact = new LeaderContact();
   private readonly tokens: FencingTokens;
   private readonly evacuations: EvacuationKnowledge;
+  private readonly storeContact = new StoreContact();
   private readonly leaderSearch: LeaderSearch;
   private readonly log: ComponentLog;
   private readonly loopDelay: LoopDelayMonitor;
@@ -450,6 +452,7 @@
       agent,
       sentAtMs: sendTime.nowMs,
       epoch,
+      storeAgeMs: this.storeContact.ageMs(sendTime.nowMs),
     });
   }
 
@@ -473,6 +476,7 @@
       agent: this.options.name,
       sentAtMs: sendTime.nowMs,
       epoch: this.epoch,
+      storeAgeMs: this.storeContact.ageMs(sendTime.nowMs),
       inventory,
       refusals: this.driver?.takeRefusals() ?? [],
       lost: this.lostWorker.current,
@@ -496,6 +500,7 @@
     this.pruneSendTimes(message.sentAtMs);
     if (message.gates) this.directory.addAddresses(message.gates);
     this.recordEvacuations(message, sentAt);
+    this.storeContact.record(message.storeAgeMs, this.ctx.clock.nowMs());
     if (message.epoch < this.epoch) return;
     this.recordLeader(message.epoch, message.leaderAddress);
     if (message.leads) this.onLeaderAnswer(address, message, sentAt);
--- a/src/gate/job_gate.ts
+++ b/src/gate/job_gate.ts
@@ -22,6 +22,7 @@
   rowKeys,
 } from '../jobs/job_rows.js';
 import {LeaderElection} from '../jobs/leader_election.js';
+import {StoreContact} from '../jobs/store_contact.js';
 import {type EventLog, type ComponentLog} from '../plugins/event_log.js';
 import {LoopDelayMonitor} from '../plugins/loop_delay_monitor.js';
 import {type Metrics} from '../plugins/metrics.js';
@@ -93,6 +94,7 @@
   private readonly follower: RowFollower;
   private readonly agents: AgentServer;
   private readonly gates: GateRegistry;
+  private readonly storeContact = new StoreContact();
   private readonly log: ComponentLog;
   private ticker: NodeJS.Timeout | undefined;
   private readonly loopDelay: LoopDelayMonitor;
@@ -179,6 +181,17 @@
     return !this.isStopping && this.jobService.isFresh;
   }
 
+  /** Whether this gate has lost the store, and another one has reached it since. */
+  get isStoreReachedByOthers(): boolean {
+    const nowMs = this.ctx.clock.nowMs();
+    return this.storeContact.isNewerThan(this.storeAgeMs(nowMs), nowMs);
+  }
+
+  /** Time since this gate last reached the store, in ms; infinite before the first read. */
+  private storeAgeMs(nowMs: number): number {
+    return Math.max(0, nowMs - this.follower.freshAsOfMs);
+  }
+
   get isLeader(): boolean {
     return this.leaderRole.engine !== undefined;
   }
@@ -345,6 +358,7 @@
     this.ctx.metrics.increment(`agent_${message.type}s`);
     this.leaderRole.onEpoch(message.epoch);
     const {engine} = this.leaderRole;
+    this.storeContact.record(message.storeAgeMs, this.ctx.clock.nowMs());
     // The answer may extend leases, so each answered message counts as contact.
     engine?.recordContact(message.agent, this.ctx.clock.nowMs());
     if (engine && message.type === 'report') this.applyReport(engine, message);
@@ -373,6 +387,7 @@
   }
 
   private createAnswer(sentAtMs: number): GateAnswer {
+    const storeAgeMs = this.storeAgeMs(this.ctx.clock.nowMs());
     return {
       type: 'answer',
       sentAtMs,
@@ -381,6 +396,7 @@
       extendsLeases: this.isLeader && this.leaderRole.isLeadershipCertain,
       leaderAddress: this.leaderAddress,
       evacuations: this.ctx.evacuations(),
+      storeAgeMs: Number.isFinite(storeAgeMs) ? storeAgeMs : undefined,
     };
   }
 
--- a/src/protocol/job_messages.ts
+++ b/src/protocol/job_messages.ts
@@ -16,6 +16,7 @@
 
 const boundedText = z.string().max(8192);
 const nonNegativeInteger = z.number().int().min(0);
+const storeAgeSchema = z.number().min(0).optional();
 
 const resourcesSchema: z.ZodType<Resources> = z.object({
   cpu: z.number(),
@@ -98,8 +99,16 @@
   readonly ends?: readonly EndReport[];
 }
 
+export interface StoreKnowledge {
+  /**
+   * Time since the sender, or for an agent any gate that it heard of, last reached the store;
+   * absent if that is not known.
+   */
+  readonly storeAgeMs?: number;
+}
+
 /** Heartbeat of an agent, with the full state of its worker. */
-export interface AgentReport {
+export interface AgentReport extends StoreKnowledge {
   readonly type: 'report';
   readonly agent: string;
   /** Time of sending on the agent's clock, in ms; returned in the reply. */
@@ -121,7 +130,7 @@
 }
 
 /** Heartbeat of an agent on the link to a gate that does not lead. */
-export interface AgentProbe {
+export interface AgentProbe extends StoreKnowledge {
   readonly type: 'probe';
   readonly agent: string;
   /** Time of sending on the agent's clock, in ms; returned in the reply. */
@@ -140,6 +149,7 @@
       agent: boundedText,
       sentAtMs: z.number(),
       epoch: nonNegativeInteger,
+      storeAgeMs: storeAgeSchema,
       inventory: inventorySchema.optional(),
       refusals: z.array(refusalSchema),
       lost: z
@@ -159,12 +169,13 @@
       agent: boundedText,
       sentAtMs: z.number(),
       epoch: nonNegativeInteger,
+      storeAgeMs: storeAgeSchema,
     }),
   ],
 );
 
 /** A gate's reply to a report or a probe; also sent when the leader changes. */
-export interface GateAnswer {
+export interface GateAnswer extends StoreKnowledge {
   readonly type: 'answer';
   /** `sentAtMs` of the message that is answered; 0 if there is none. */
   readonly sentAtMs: number;
@@ -208,6 +219,7 @@
       leaderAddress: boundedText.optional(),
       gates: z.array(boundedText).optional(),
       evacuations: evacuationsSchema.optional(),
+      storeAgeMs: storeAgeSchema,
     }),
     z.object({
       type: z.literal('orders'),
