--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -113,7 +113,15 @@
   }
 
   /** Starts store, gates and agents with their workers. `queues`: name to settings. */
-  async start({gates, workers, queues, worker = {}, each = () => {}}) {
+  async start({
+    gates,
+    workers,
+    queues,
+    worker = {},
+    each = () => {},
+    bounds = {},
+  }) {
+    this.bounds = {...BOUNDS, ...bounds};
     this.storeAddress = await this.store.start('127.0.0.1');
     this.queues = queues;
     this.store.putByOperator('op', 'config', {
@@ -216,7 +224,7 @@
       'heartbeat-ms': 1500,
       contracts: CONTRACTS,
       'fault-tolerance': {machines: 2, zones: 0, regions: 0},
-      bounds: BOUNDS,
+      bounds: this.bounds,
       orders: 'dispatch',
       ...(app ? {app, service: 'svc'} : {}),
       platform: {
--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -12,6 +12,12 @@
     this.partFreeAt = new Map();
     this.server = http.createServer((req, res) => void this.onCall(req, res));
     this.server.keepAliveTimeout = 60_000;
+    /** Time that a read takes, in ms. */
+    this.readMs = 0;
+    /** Oldest version from which changes can be read. */
+    this.historyFrom = 0;
+    this.isDeaf = false;
+    this.feeds = new Set();
     /** Called after each applied transaction with its entries. */
     this.onApplied = () => {};
   }
@@ -60,6 +66,15 @@
     return ver;
   }
 
+  /** Lets feeds hear nothing for `deafMs`, then drops the history and cuts the feeds. */
+  async dropHistory(deafMs) {
+    this.isDeaf = true;
+    await new Promise(done => setTimeout(done, deafMs));
+    this.isDeaf = false;
+    this.historyFrom = this.ver;
+    for (const res of this.feeds) res.destroy();
+  }
+
   async onCall(req, res) {
     const url = new URL(req.url, 'http://store');
     const chunks = [];
@@ -78,8 +93,11 @@
     if (url.pathname === '/lagoonshunt/rows-tx') return this.onTx(body, send);
     if (url.pathname === '/lagoonshunt/rows-get')
       return this.onGet(url.searchParams, send);
-    if (url.pathname === '/lagoonshunt/rows-feed')
-      return this.onFeed(url.searchParams, send);
+    if (url.pathname === '/lagoonshunt/rows-feed') {
+      this.feeds.add(res);
+      res.once('close', () => this.feeds.delete(res));
+      return this.onFeed(url.searchParams, send, res);
+    }
     send(404, {});
   }
 
@@ -131,19 +149,24 @@
           (to === null || r.key < to),
       )
       .sort((a, b) => (a.key < b.key ? -1 : 1));
-    send(200, {
+    const page = {
       rows: all.slice(0, limit),
       'has-more': all.length > limit,
       ver: this.ver,
-    });
+    };
+    if (this.readMs > 0) setTimeout(() => send(200, page), this.readMs);
+    else send(200, page);
   }
 
-  async onFeed(q, send) {
+  async onFeed(q, send, res) {
     const after = Number(q.get('after'));
+    if (after < this.historyFrom) return send(410, {});
     const changed = () =>
-      [...this.rows(q.get('table')).values()]
-        .filter(r => r.ver > after)
-        .sort((a, b) => a.ver - b.ver);
+      this.isDeaf
+        ? []
+        : [...this.rows(q.get('table')).values()]
+            .filter(r => r.ver > after)
+            .sort((a, b) => a.ver - b.ver);
     const untilMs =
       performance.now() + Math.min(30_000, Number(q.get('wait-ms') ?? 0));
     while (changed().length === 0 && performance.now() < untilMs)
@@ -159,7 +182,8 @@
         );
         this.waiters.add(wake);
       });
-    const ver = this.ver;
+    if (res.destroyed) return;
+    const ver = this.isDeaf ? after : this.ver;
     send(200, {rows: changed(), ver});
   }
 }
