--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -5,7 +5,9 @@
 import {fileURLToPath} from 'node:url';
 
 const WORK_MS = 1000;
-const TRIALS = 22;
+const TRIALS = 24;
+/** Kinds of worker, two workers each; those of one kind are used in turn. */
+const KINDS = ['b', 'c', 'd', 'e', 'f'];
 const between = (from, to) => from + Math.random() * (to - from);
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async d => {
@@ -24,24 +26,25 @@
     }
   };
   const onListed = w => (w.listedAt = performance.now());
-  const names = ['side-1', 'side-2'];
   await d.start({
     gates: 3,
     workers: 11,
     queues: {urgent: {}},
     worker: {workOn, onRunBegun, onListed},
     each: (name, w) => {
-      if (names.includes(name)) w.kind = 'b';
-      if (name === 'side-1') w.cpu = 60_000; // the tighter fit
+      const i = Number(name.slice('side-'.length)) - 1;
+      w.kind = KINDS[Math.floor(i / 2)] ?? 'a';
+      if (i % 2 === 0) w.cpu = 60_000; // the tighter fit
     },
   });
-  const w = d.workers.get('side-1');
   const untilMs = performance.now() + 90_000;
   for (
     let i = 0;
     i < TRIALS && broken.length === 0 && performance.now() < untilMs;
     i++
   ) {
+    const pair = i % KINDS.length;
+    const w = d.workers.get(`side-${2 * pair + 1}`);
     w.listedAt = undefined;
     await d.waitFor('an answer to a hold', () => w.listedAt, 5000);
     const since = w.listedAt;
@@ -56,7 +59,7 @@
           cpu: 8000,
           'mem-mb': 1024,
           gpu: 1,
-          'required-label': 'b',
+          'required-label': KINDS[pair],
           'est-runtime-ms': WORK_MS,
         },
       ],
--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -1,114 +1,102 @@
 /* global performance */
-// Clients submit jobs of legal size that are made of very many short fields to one gate, and a
-// caller asks it for an accepted job.
-import http from 'node:http';
-import {readFileSync} from 'node:fs';
+// Both members of a gang fail in its first run. The end of the second member reaches a leader
+// only after the leader that recorded the first one was killed.
 import {runCase, sleep, TROUBLE} from '../lib-3/deployment.mjs';
 import {dirname} from 'node:path';
 import {fileURLToPath} from 'node:url';
 
-const MAX_BODY_BYTES = 262_144;
-const CLIENTS = 40;
-const WATCH_MS = 25_000;
-const MAX_SILENCE_MS = 10_000;
-
-/** A submission of `MAX_BODY_BYTES` bytes with as many steps as fit. */
-function manyFields() {
-  const head = '{"spec":"many fields","steps":[';
-  const unit = '{},';
-  const count = Math.floor((MAX_BODY_BYTES - head.length - 2) / unit.length);
-  return `${head}${unit.repeat(count).slice(0, -1)}]}`;
-}
-
-/** Processor time of a process, in ms. */
-function processorMs(pid) {
-  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
-  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
-  return (Number(fields[11]) + Number(fields[12])) * 10;
-}
+const FAIL_AFTER_MS = 1500;
+const WORK_MS = 3000;
+const MAX_ATTEMPTS = 2;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async d => {
+  /** Runs of the gang by number: members present, and when all of them were. */
+  const gangRuns = new Map();
+  const failedRuns = new Set();
+  let mayFail = false;
+  const onRunBegun = (w, r) => {
+    const g = gangRuns.get(r.run) ?? {members: new Map(), over: new Set()};
+    gangRuns.set(r.run, g);
+    g.members.set(r.task, {w, r});
+    if (g.members.size === 2) g.allAt = performance.now();
+  };
   const workOn = (w, r) => {
-    r.workMs = 60_000;
-    if (performance.now() - r.startedAt >= r.workMs) w.end(r, 'done');
+    r.workMs = WORK_MS;
+    const g = gangRuns.get(r.run);
+    const now = performance.now();
+    if (!g.allAt) {
+      if (now - r.startedAt > w.gangMs) w.end(r, 'alone');
+      return;
+    }
+    if (r.run === 1) {
+      // Both members meet the same fault of their program at the same moment.
+      if (mayFail && now - g.allAt >= FAIL_AFTER_MS) w.end(r, 'failed');
+    } else if (g.over.size > 0 && !g.isDone) w.end(r, 'broken');
+    else if (now - g.allAt >= WORK_MS) {
+      g.isDone = true;
+      w.end(r, 'done');
+    }
+  };
+  const onRunOver = (w, r, how) => {
+    gangRuns.get(r.run).over.add(r.task);
+    if (how === 'failed') failedRuns.add(r.run);
   };
   await d.start({
     gates: 3,
-    workers: 3,
-    queues: {bulk: {}},
-    worker: {workOn},
+    workers: 8,
+    queues: {bulk: {'max-attempts': MAX_ATTEMPTS}},
+    worker: {workOn, onRunOver, onRunBegun},
   });
   const id = d.newId();
-  await d.submit('bulk', id, {
-    spec: 'ordinary',
-    steps: [
-      {
-        count: 1,
-        cpu: 8000,
-        'mem-mb': 1024,
-        gpu: 1,
-        'est-runtime-ms': 60_000,
-      },
-    ],
-  });
-  await sleep(2000);
-  const text = manyFields();
-  const submitAt = gate =>
-    new Promise(done => {
-      const [host, port] = d.nodes.get(gate).listen.front.split(':');
-      const finish = how => {
-        d.record(`client with many fields at ${gate}`, {how});
-        done();
-      };
-      const req = http.request(
+  const client = d.gateNames.find(g => g !== d.leader());
+  await d.submit(
+    'bulk',
+    id,
+    {
+      spec: 'gang',
+      steps: [
         {
-          host,
-          port,
-          method: 'POST',
-          path: `/bulk/${d.newId()}`,
-          agent: false,
-          headers: {
-            host: d.host,
-            'lagoonshunt-credential': d.key,
-            'lagoonshunt-deadline-ms': '3000',
-            'content-type': 'application/json',
-            'content-length': text.length,
-          },
-        },
-        res => {
-          res.resume();
-          res.on('end', () => finish(res.statusCode));
-          res.on('error', err => finish(err.code));
+          count: 2,
+          cpu: 26_000,
+          'mem-mb': 1024,
+          gpu: 8,
+          gang: true,
+          'est-runtime-ms': WORK_MS,
         },
-      );
-      req.on('error', err => finish(err.code));
-      req.end(text);
-    });
-  const crowd = [];
-  const target = d.gateNames.find(g => g !== d.leader());
-  const pids = d.gateNames.map(g => d.nodes.get(g).child.pid);
-  const cpuBefore = pids.map(processorMs);
+      ],
+    },
+    client,
+  );
+  const g = await d.waitFor(
+    'both members',
+    () => gangRuns.get(1)?.allAt && gangRuns.get(1),
+    10_000,
+  );
+  const [first, second] = [...g.members.values()];
   if (TROUBLE) {
-    d.record('crowd', {clients: CLIENTS, at: target, bytes: text.length});
-    for (let i = 0; i < CLIENTS; i++) crowd.push(submitAt(target));
-  }
-  const startMs = performance.now();
-  let answeredMs = startMs;
-  let longestMs = 0;
-  const watch = async gate => {
-    while (performance.now() - startMs < WATCH_MS) {
-      const askedMs = performance.now();
-      const state = await d.state('bulk', id, gate);
-      const nowMs = performance.now();
-      longestMs = Math.max(longestMs, nowMs - answeredMs);
-      // An answer later than the client's deadline is none.
-      if (state === 'running' && nowMs - askedMs <= 3000) answeredMs = nowMs;
-      await sleep(500);
-    }
-  };
-  await watch(target);
-  const cpuMs = pids.map((p, i) => processorMs(p) - cpuBefore[i]);
-  d.record('watched', {longestMs: Math.round(longestMs), cpuMs});
-  if (longestMs < MAX_SILENCE_MS) return undefined;
-  return `${target} answered no call about job ${id} within 3 s for ${Math.round(longestMs)} ms; processor time of the gates in ${WATCH_MS} ms: ${cpuMs.join(', ')} ms`;
+    await sleep(FAIL_AFTER_MS - 300);
+    // A process of the system is killed: the agent beside the second member.
+    d.signal(second.w.name, 'SIGKILL');
+    mayFail = true;
+    // ... and then the process that last wrote to the store under a condition.
+    await d.waitFor(
+      'the first end to be taken note of',
+      () => first.w.acked > 0,
+      5000,
+    );
+    const leader = d.leader();
+    d.signal(leader, 'SIGKILL');
+    await sleep(1000);
+    d.startProcess(second.w.name);
+    d.startProcess(leader);
+  } else mayFail = true;
+  const until = performance.now() + 40_000;
+  let state;
+  do {
+    state = await d.state('bulk', id, client);
+    if (['completed', 'failed', 'cancelled'].includes(state)) break;
+    await sleep(500);
+  } while (performance.now() < until);
+  if (state === 'completed') return undefined;
+  return `the gang ${id} is shown as ${state}; runs that failed: ${[...failedRuns].join(', ')} of ${MAX_ATTEMPTS} allowed`;
 });
