--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -94,7 +94,7 @@
 export class Deployment {
   constructor(folder) {
     this.folder = folder;
-    this.recordFile = join(folder, 'record.txt');
+    this.recordFile = process.env.RECORD ?? join(folder, 'record.txt');
     writeFileSync(this.recordFile, '');
     this.startedAt = performance.now();
     this.tmp = mkdtempSync(join(tmpdir(), 'lagoon-review-'));
@@ -448,11 +448,14 @@
 export async function runCase(folder, body) {
   const d = new Deployment(folder);
   let code = 2;
-  const limit = setTimeout(() => {
-    d.record('result', {code: 2, reason: 'time limit'});
+  const giveUp = reason => {
+    d.record('result', {code: 2, reason});
     for (const n of d.nodes.values()) n.child?.kill('SIGKILL');
     process.exit(2);
-  }, 110_000);
+  };
+  const limit = setTimeout(() => giveUp('time limit'), 110_000);
+  process.on('uncaughtException', err => giveUp(err.stack));
+  process.on('unhandledRejection', err => giveUp(String(err)));
   try {
     const broken = await body(d);
     code = broken ? 1 : 0;
