Start nothing that was ordered before the leader knew that a worker was lost

An agent reports a worker as lost when all leases on it have expired, which holds for an idle worker after 2.5 s of silence. The leader then places its tasks elsewhere, but a start that the agent still repeated was sent if the worker answered again within 100 ms. A start in the agent's socket or on its link, ordered before the leader heard of the loss, was carried out too.

With a report that the runs on a worker are over, the agent now gives up the starts that it holds, and refuses further ones until the leader has answered the report. A link keeps the order of its messages, and the leader answers a report before it sends the orders that follow from it, so an order after the answer was sent by a leader that knew.

--- a/measure/run_history.ts
+++ b/measure/run_history.ts
@@ -15,6 +15,7 @@
   'notListed',
   'stopAnswered',
   'startRejected',
+  'startWithdrawn',
   'otherIncarnation',
   'leasesExpired',
 ]);
--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -10,6 +10,7 @@
 } from '../jobs/job_rows.js';
 import {
   type AcknowledgeOrder,
+  type StartOrder,
   type WorkerCrash,
 } from '../jobs/engine_messages.js';
 import {EvacuationKnowledge, maxNoticeAgeMs} from '../jobs/evacuations.js';
@@ -39,6 +40,7 @@
 } from './lease_renewer.js';
 import {ReportSchedule} from './report_schedule.js';
 import {RunProof} from './run_conclusion.js';
+import {StartBarrier} from './start_barrier.js';
 import {WorkerDriver} from './worker_driver.js';
 
 /** Maximum interval between reports to the leader, in ms. */
@@ -97,6 +99,7 @@
   private readonly reportSendTimes = new Map<number, ClockReading>();
   private driver: WorkerDriver | undefined;
   private readonly lostWorker = new LostWorkerReport();
+  private readonly startBarrier = new StartBarrier();
   /** Newest heartbeat of an incarnation other than the driver's. */
   private otherIncarnation: WorkerReport | undefined;
   /** The crash that ended the predecessor of the worker, if one did. */
@@ -115,6 +118,7 @@
   private readonly reportSchedule = new ReportSchedule(REPORT_INTERVAL_MS);
   private readonly probeSchedule = new ReportSchedule(PROBE_INTERVAL_MS);
   private isReportPending = false;
+  private lastSentAtMs = 0;
   private ticker: NodeJS.Timeout | undefined;
 
   constructor(
@@ -456,8 +460,12 @@
     });
   }
 
+  /** Records the sending of a message. Answers name it by its time, so no other has it. */
   private recordSend(address: string, schedule: ReportSchedule): ClockReading {
-    const sendTime = readClocks(this.ctx.clock);
+    const {nowMs, wallMs} = readClocks(this.ctx.clock);
+    const uniqueMs = Math.max(nowMs, this.lastSentAtMs + MIN_SEND_DISTANCE_MS);
+    this.lastSentAtMs = uniqueMs;
+    const sendTime = {nowMs: uniqueMs, wallMs};
     this.reportSendTimes.set(sendTime.nowMs, sendTime);
     schedule.recordSent(address, sendTime.nowMs);
     return sendTime;
@@ -471,6 +479,8 @@
       : undefined;
     if (this.driver && inventory)
       this.lostWorker.recordReachable(this.driver.key);
+    const lost = this.lostWorker.current;
+    const hasNoRuns = !inventory && this.hasNoRuns(sendTime.nowMs);
     this.links.send(address, {
       type: 'report',
       agent: this.options.name,
@@ -479,10 +489,22 @@
       storeAgeMs: this.storeContact.ageMs(sendTime.nowMs),
       inventory,
       refusals: this.driver?.takeRefusals() ?? [],
-      lost: this.lostWorker.current,
-      hasNoRuns: !inventory && this.hasNoRuns(sendTime.nowMs),
+      lost,
+      hasNoRuns,
       crash: this.crashToReport(sendTime.nowMs, inventory !== undefined),
     });
+    const isDriverLost = !this.driver || lost?.worker === this.driver.key;
+    if (hasNoRuns || (lost && isDriverLost)) this.bindToLoss(sendTime.nowMs);
+  }
+
+  /**
+   * Sees to it that no run starts on an order of before a report that the runs on the worker
+   * are over. The refusals of the withdrawn starts follow with the next report: the leader
+   * places a lost run elsewhere at once, and a refused one after a delay.
+   */
+  private bindToLoss(reportSentAtMs: number): void {
+    this.startBarrier.raise(reportSentAtMs);
+    this.driver?.withdrawStarts();
   }
 
   /**
@@ -541,6 +563,7 @@
       this.log.logEvent('leaderFound', {gate: address, epoch: this.epoch});
       this.report(address);
     }
+    this.startBarrier.recordAnswer(answer.sentAtMs);
     if (!answer.extendsLeases) return;
     this.leaderSearch.recordLeader();
     if (sentAt) this.contact.record(sentAt);
@@ -571,11 +594,19 @@
         this.log.logEvent('orderForOtherWorker', {worker: order.worker});
         continue;
       }
-      if (order.type === 'start') void driver.start(order);
+      if (order.type === 'start') this.startRun(driver, order);
       else void driver.stop(order);
     }
   }
 
+  private startRun(driver: WorkerDriver, order: StartOrder): void {
+    if (!this.startBarrier.isRaised) return void driver.start(order);
+    const {task, run, worker} = order;
+    this.ctx.metrics.increment('starts_ordered_before_loss');
+    this.log.logEvent('startOrderedBeforeLoss', {task, run, worker});
+    driver.refuseOutdated(order);
+  }
+
   private onLinkClosed(address: string): void {
     this.reportSchedule.forget(address);
     this.probeSchedule.forget(address);
@@ -598,3 +629,5 @@
 
 /** Maximum age difference of reports awaiting answers on different links, in ms. */
 const SEND_TIME_RETENTION_MS = 5000;
+/** Minimum difference between the send times of two messages, in ms. */
+const MIN_SEND_DISTANCE_MS = 0.001;
--- a/src/agent/run_conclusion.ts
+++ b/src/agent/run_conclusion.ts
@@ -12,6 +12,8 @@
   STOP_ANSWERED: 'stopAnswered',
   /** No attempt of the start can have been carried out. */
   START_REJECTED: 'startRejected',
+  /** The start was not sent before all leases expired, and will not be sent. */
+  START_WITHDRAWN: 'startWithdrawn',
   /** Another incarnation answered under the worker's address. */
   OTHER_INCARNATION: 'otherIncarnation',
   /** All leases that were requested have expired. */
--- a/src/agent/run_table.ts
+++ b/src/agent/run_table.ts
@@ -18,9 +18,7 @@
 } as const;
 type RunPhase = (typeof RunPhase)[keyof typeof RunPhase];
 
-interface RunEntry {
-  readonly task: string;
-  readonly run: number;
+interface RunEntry extends RunRef {
   phase: RunPhase;
   /**
    * When the run was known to be on the worker, in ms of the monotonic clock. A list that
@@ -177,10 +175,15 @@
   }
 
   /** Runs that are not being stopped. */
-  unstoppedRuns(): RunRef[] {
+  unstoppedRuns(): RunEntry[] {
     return [...this.entries.values()].filter(e => !e.isStopping);
   }
 
+  /** Runs that the worker has not confirmed and that are not being stopped. */
+  startingRuns(): RunRef[] {
+    return this.unstoppedRuns().filter(e => e.phase === RunPhase.STARTING);
+  }
+
   /** Unacknowledged ends, in order of their numbers. */
   ends(): EndReport[] {
     return [...this.ended.values()].sort((a, b) => a.number - b.number);
--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -327,6 +327,24 @@
     }
   }
 
+  /**
+   * Gives up the starts that the worker has not confirmed. To be called when the runs on it
+   * were reported as over, since their tasks are placed elsewhere then.
+   */
+  withdrawStarts(): void {
+    for (const run of this.table.startingRuns())
+      this.concludeWithdrawn(run, 'the worker was lost before its start');
+  }
+
+  /** Refuses a start that was ordered before the leader knew that the worker was lost. */
+  refuseOutdated({task, run}: StartOrder): void {
+    // The leader repeats the order if it still applies.
+    if (!this.hasRunLists) return;
+    if (!this.table.addStarting(task, run, this.ctx.clock.nowMs())) return;
+    this.concludeWithdrawn({task, run}, 'ordered before the worker was lost');
+    this.ctx.onStatusChange();
+  }
+
   /** Asks the worker whether it is still this incarnation. */
   async verifyIncarnation(): Promise<void> {
     await this.renew(0);
@@ -413,6 +431,16 @@
     this.ctx.onStatusChange();
   }
 
+  private concludeWithdrawn({task, run}: RunRef, reason: string): void {
+    this.logConclusion({
+      task,
+      run,
+      proof: RunProof.START_WITHDRAWN,
+      facts: {reason},
+    });
+    this.table.recordRefusal(task, run, reason);
+  }
+
   private async poll(): Promise<void> {
     while (!this.isClosed) {
       if (this.ctx.epoch() === 0) {
--- /dev/null
+++ b/tests/steps/loss_report_steps.ts
@@ -0,0 +1,132 @@
+/** Steps on starts that an agent gets or holds when it reports its worker as lost. */
+import assert from 'node:assert/strict';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {type AgentReport} from '../../src/protocol/job_messages.js';
+import {ScriptedAgent, WORKER_KEY} from '../fixtures/scripted_agent.js';
+
+const STEP_TIMEOUT_MS = 60_000;
+const TASK = 'j1.0.0.0';
+const CLOCK_STEP_MS = 100;
+
+let agent: ScriptedAgent | undefined;
+
+After(async () => {
+  await agent?.stop();
+  agent = undefined;
+});
+
+Given(
+  'an agent with an idle worker and leases of {int} ms',
+  {timeout: STEP_TIMEOUT_MS},
+  async (leaseMs: number) => {
+    agent = new ScriptedAgent(leaseMs);
+    await agent.start();
+  },
+);
+
+function isLoss({lost}: AgentReport): boolean {
+  return lost?.worker === WORKER_KEY;
+}
+
+function hasRun({inventory}: AgentReport, run: number): boolean {
+  const runs = inventory?.runs ?? [];
+  return runs.some(r => r.task === TASK && r.run === run && r.isRunning);
+}
+
+function hasRefusal({refusals}: AgentReport, run: number): boolean {
+  return refusals.some(r => r.task === TASK && r.run === run);
+}
+
+When(
+  'the leader sends run {int} just before it hears that the worker is lost',
+  (run: number) => {
+    const {onReport} = agent!;
+    agent!.onReport = report => {
+      onReport(report);
+      if (isLoss(report)) agent!.order(TASK, run);
+    };
+  },
+);
+
+When(
+  'the leader sends run {int} at the first inventory after a loss',
+  (run: number) => {
+    agent!.onReport = ({inventory}) => {
+      if (!inventory || !agent!.reports.some(isLoss)) return;
+      agent!.onReport = () => undefined;
+      // After the answer to the report, as an order that follows from it.
+      setImmediate(() => agent!.order(TASK, run));
+    };
+  },
+);
+
+When('the worker hangs', () => agent!.worker.hang());
+
+When(
+  'the worker hangs, and run {int} is ordered {int} ms after its last answer',
+  {timeout: STEP_TIMEOUT_MS},
+  async (run: number, afterMs: number) => {
+    agent!.worker.hang();
+    await agent!.advance(afterMs);
+    agent!.order(TASK, run);
+    await agent!.until(() => agent!.worker.startCalls.length > 0);
+  },
+);
+
+When(
+  'the worker answers again as soon as the leader hears that it is lost',
+  {timeout: STEP_TIMEOUT_MS},
+  async () => {
+    const {onReport} = agent!;
+    agent!.onReport = report => {
+      onReport(report);
+      if (isLoss(report)) agent!.worker.goOn();
+    };
+    while (!agent!.reports.some(isLoss)) await agent!.advance(CLOCK_STEP_MS);
+  },
+);
+
+async function waitForOutcome(run: number): Promise<void> {
+  const isOver = (r: AgentReport) => hasRefusal(r, run) || hasRun(r, run);
+  while (!agent!.reports.some(isOver)) await agent!.advance(CLOCK_STEP_MS);
+}
+
+Then(
+  'run {int} is refused, and its start is not sent again',
+  {timeout: STEP_TIMEOUT_MS},
+  async (run: number) => {
+    await waitForOutcome(run);
+    assert.equal(agent!.worker.startCalls.length, 1);
+    assert.ok(agent!.reports.some(r => hasRefusal(r, run)));
+  },
+);
+
+Then(
+  'run {int} is refused, and the worker gets no start',
+  {timeout: STEP_TIMEOUT_MS},
+  async (run: number) => {
+    await waitForOutcome(run);
+    assert.deepEqual(agent!.worker.startCalls, []);
+    assert.ok(agent!.reports.some(r => hasRefusal(r, run)));
+  },
+);
+
+Then(
+  'run {int}, which the leader orders after that, is started',
+  {timeout: STEP_TIMEOUT_MS},
+  async (run: number) => {
+    agent!.onReport = () => undefined;
+    agent!.order(TASK, run);
+    await waitForOutcome(run);
+    assert.ok(agent!.reports.some(r => hasRun(r, run)));
+  },
+);
+
+Then(
+  'run {int} is started',
+  {timeout: STEP_TIMEOUT_MS},
+  async (run: number) => {
+    await waitForOutcome(run);
+    assert.ok(!agent!.reports.some(r => hasRefusal(r, run)));
+  },
+);
