Withdraw the loss of a worker that has answered since

An agent that has no leader keeps the loss of its worker until it can report it, and only a report with the worker's inventory withdrew it. Without a leader there is none. If the worker answered, had a run and fell silent again, the next leader was told that the worker was lost, and would have placed the task elsewhere while its lease was valid (TWICE).

The agent now withdraws a loss before any report if the worker has answered since. The scenario "A worker is lost while there is no leader, and its next silence is reported" failed before, as the report named the loss, and passes now.

--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -479,6 +479,7 @@
       : undefined;
     if (this.driver && inventory)
       this.lostWorker.recordReachable(this.driver.key);
+    else if (this.driver?.mayHaveRuns) this.lostWorker.retract(this.driver.key);
     const lost = this.lostWorker.current;
     const hasNoRuns = !inventory && this.hasNoRuns(sendTime.nowMs);
     this.links.send(address, {
--- a/src/agent/lost_worker_report.ts
+++ b/src/agent/lost_worker_report.ts
@@ -23,6 +23,11 @@
     if (!hasOtherEnds) this.lost = undefined;
   }
 
+  /** Withdraws the loss of a worker that has answered since, so it may have new runs. */
+  retract(worker: string): void {
+    if (this.lost?.worker === worker) this.lost = undefined;
+  }
+
   /** Records that the ends of a worker up to `upTo` are durable. */
   acknowledge(worker: string, upTo: number): void {
     const {lost} = this;
--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -196,6 +196,11 @@
     return this.hasRunLists && sinceAnswerMs < UNREACHABLE_AFTER_MS;
   }
 
+  /** Whether the worker has answered since all of its leases last expired. */
+  get mayHaveRuns(): boolean {
+    return this.hasRunLists && !this.isExpiryReported;
+  }
+
   /**
    * When the worker crashed, in ms of the monotonic clock; undefined if it is not known to
    * have crashed under its runs. To be asked once another incarnation has taken its place.
--- a/tests/features/loss_reports.feature
+++ b/tests/features/loss_reports.feature
@@ -23,3 +23,11 @@
     And the worker hangs
     And the worker answers again as soon as the leader hears that it is lost
     Then run 2 is started
+
+  # Guards against a loss without a leader that is reported after the worker has started new runs.
+  Scenario: A worker is lost while there is no leader, and its next silence is reported
+    Given an agent with an idle worker and leases of 3000 ms
+    When there is no leader, and the worker hangs for 4000 ms
+    And the worker answers again, has a run and hangs for 3000 ms
+    And there is a leader again
+    Then the worker is not reported as lost
--- a/tests/steps/loss_report_steps.ts
+++ b/tests/steps/loss_report_steps.ts
@@ -86,6 +86,35 @@
   },
 );
 
+When(
+  'there is no leader, and the worker hangs for {int} ms',
+  {timeout: STEP_TIMEOUT_MS},
+  async (ms: number) => {
+    agent!.setLed(false);
+    agent!.worker.hang();
+    await agent!.advance(ms);
+  },
+);
+
+When(
+  'the worker answers again, has a run and hangs for {int} ms',
+  {timeout: STEP_TIMEOUT_MS},
+  async (ms: number) => {
+    const {worker, clock} = agent!;
+    worker.running.push({task: TASK, run: 1, checkpoint: '', percent: 0});
+    worker.goOn();
+    await agent!.until(() => worker.leaseUntilMs > clock.nowMs());
+    worker.hang();
+    await agent!.advance(ms);
+  },
+);
+
+When('there is a leader again', {timeout: STEP_TIMEOUT_MS}, async () => {
+  const known = agent!.reports.length;
+  agent!.setLed(true);
+  await agent!.until(() => agent!.reports.length > known);
+});
+
 async function waitForOutcome(run: number): Promise<void> {
   const isOver = (r: AgentReport) => hasRefusal(r, run) || hasRun(r, run);
   while (!agent!.reports.some(isOver)) await agent!.advance(CLOCK_STEP_MS);
@@ -130,3 +159,7 @@
     assert.ok(!agent!.reports.some(r => hasRefusal(r, run)));
   },
 );
+
+Then('the worker is not reported as lost', () => {
+  assert.deepEqual(agent!.reports.filter(isLoss), []);
+});
