Bound a start by the contact with the leader that its order rests on

A leader takes the runs of an agent for lost after 11.5 s without contact, as the agent starts nothing later than 5 s after the leader's last answer. Each attempt of a start was checked against the latest answer, though. An agent that was suspended while it held a start, 20 s in the scenario, got a new answer and attempted the start again, when its task could be running elsewhere (TWICE).

A start is now attempted only within 5 s of the latest answer that the agent had when it received the order. The scenario "An instance is suspended while its agent holds a start" failed before (a second start call) and passes now.

--- a/src/agent/lease_renewer.ts
+++ b/src/agent/lease_renewer.ts
@@ -49,6 +49,11 @@
     if (!this.lastAt || sentAt.nowMs > this.lastAt.nowMs) this.lastAt = sentAt;
   }
 
+  /** When the answered report was sent; undefined if there was no contact. */
+  get latest(): ClockReading | undefined {
+    return this.lastAt;
+  }
+
   /** Time since the contact, in ms; infinite if there was none. */
   elapsedMs(at: ClockReading): number {
     return this.lastAt ? maxElapsedMs(this.lastAt, at) : Infinity;
@@ -82,6 +87,20 @@
     return this.contact.elapsedMs(at) <= this.times.isolationMs;
   }
 
+  /** The latest contact with the leader; undefined if there was none. */
+  get latestContact(): ClockReading | undefined {
+    return this.contact.latest;
+  }
+
+  /**
+   * Whether an order may still be carried out that was received after this contact. A later
+   * contact does not prolong that: the leader may have declared the run lost in between.
+   */
+  mayCarryOut(contact: ClockReading | undefined, at: ClockReading): boolean {
+    if (!contact) return false;
+    return maxElapsedMs(contact, at) <= this.times.isolationMs;
+  }
+
   /** Lease end to request, on the worker's clock; undefined if renewal is not allowed. */
   nextLeaseUntilMs(at: ClockReading): number | undefined {
     if (!this.workerClock || !this.mayRenew(at)) return undefined;
--- a/src/agent/worker_driver.ts
+++ b/src/agent/worker_driver.ts
@@ -1,7 +1,7 @@
 /** Executes orders on one worker incarnation and tracks the runs there. */
 import {isDeepStrictEqual} from 'node:util';
 import {type Clock} from '../core/clock.js';
-import {readClocks} from '../core/clock_reading.js';
+import {type ClockReading, readClocks} from '../core/clock_reading.js';
 import {
   type EndReport,
   type WorkerInventory,
@@ -49,6 +49,7 @@
 const UNSENT_REASONS = {
   noLease:
     'no contact with the leader or the worker, or the worker is draining',
+  outdated: 'no contact with the leader for too long since the order',
   workerShrunk: 'the worker has shrunk since the start was ordered',
   [EvacuationBar.EVACUATED]: 'the data centre is evacuated',
   [EvacuationBar.UNKNOWN]:
@@ -267,12 +268,13 @@
       return;
     }
     if (!this.table.addStarting(task, run, clock.nowMs())) return;
+    const {latestContact} = this.ctx.lease;
     const retryUntilMs = clock.nowMs() + START_RETRY_TIMEOUT_MS;
     let unansweredAttempts = 0;
     let reason: string = 'no answer in time';
     while (this.shouldStart(order) && clock.nowMs() < retryUntilMs) {
       const {token} = this;
-      const reply = await this.tryStart(order, token);
+      const reply = await this.tryStart(order, token, latestContact);
       if (typeof reply === 'string') {
         reason = UNSENT_REASONS[reply];
         if (reply !== EvacuationBar.UNKNOWN) break;
@@ -375,10 +377,13 @@
   private async tryStart(
     order: StartOrder,
     fencingToken: number,
+    contactAtReceipt: ClockReading | undefined,
   ): Promise<StartReply | UnsentStart> {
     const {worker, clock, lease, evacuations, log, metrics} = this.ctx;
     const startMs = clock.nowMs();
     if (this.isLeaving || !this.isReachable) return 'noLease';
+    if (!lease.mayCarryOut(contactAtReceipt, readClocks(clock)))
+      return 'outdated';
     if (hasShrunkSince(order, this.report)) return 'workerShrunk';
     const {dataCentre} = this.report;
     const bar = evacuations.barFor(dataCentre, readClocks(clock));
--- a/tests/features/loss_reports.feature
+++ b/tests/features/loss_reports.feature
@@ -31,3 +31,11 @@
     And the worker answers again, has a run and hangs for 3000 ms
     And there is a leader again
     Then the worker is not reported as lost
+
+  # Guards against a start that outlives the leader's conclusion from the agent's silence.
+  Scenario: An instance is suspended while its agent holds a start
+    Given an agent with an idle worker and leases of 1000 ms
+    When the worker hangs, and run 1 is ordered 500 ms after its last answer
+    And the instance is suspended for 20000 ms
+    And the agent reports to the leader, and the worker answers again
+    Then run 1 is refused, and its start is not sent again
--- a/tests/steps/loss_report_steps.ts
+++ b/tests/steps/loss_report_steps.ts
@@ -115,6 +115,20 @@
   await agent!.until(() => agent!.reports.length > known);
 });
 
+When('the instance is suspended for {int} ms', (ms: number) =>
+  agent!.clock.suspend(ms),
+);
+
+When(
+  'the agent reports to the leader, and the worker answers again',
+  {timeout: STEP_TIMEOUT_MS},
+  async () => {
+    const known = agent!.reports.length;
+    while (agent!.reports.length === known) await agent!.advance(CLOCK_STEP_MS);
+    agent!.worker.goOn();
+  },
+);
+
 async function waitForOutcome(run: number): Promise<void> {
   const isOver = (r: AgentReport) => hasRefusal(r, run) || hasRun(r, run);
   while (!agent!.reports.some(isOver)) await agent!.advance(CLOCK_STEP_MS);
