Count a failed run of a gang once, whichever leader hears of its ends

A run of a gang counts as one failure, but which run was counted last lay only in the leader's memory. A leader that took over between the ends of two members counted their run again.

A member's record now holds the failures of the gang at the placement of its newest run, and one more if it ended that run as failed. The gang's count is the highest of its members, and each placement gives it to all of them. A run has been counted if another member ended it with a higher count. Count, end and what the count rests on are one row, so this also holds where the end was not committed and for a gang of two rows of which one was committed.

--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -866,9 +866,11 @@
     nowMs: number,
   ): void {
     const run = unit.nextRun;
+    const {failures} = unit;
     unit.tasks.forEach((task, i) => {
       task.state = TaskState.PLACED;
       task.run = run;
+      task.failures = failures;
       task.worker = workers[i];
       task.placedAtMs = nowMs;
       this.tasksPlacedOn(task.worker).add(task);
@@ -979,8 +981,7 @@
     });
     if (end.checkpoint) this.recordCheckpoint(task, end.checkpoint);
     if (isDone) this.finishTask(task, nowMs);
-    else if (end.kind === RunEndKind.FAILED)
-      this.recordRunFailure(task, end.run, nowMs);
+    else if (end.kind === RunEndKind.FAILED) this.recordRunFailure(task, nowMs);
     else this.endPlacement(task, nowMs);
   }
 
@@ -1020,24 +1021,15 @@
     if (unit.job.isDone) this.finishJob(unit.job, JobResult.COMPLETED, nowMs);
   }
 
-  private recordRunFailure(
-    task: TrackedTask,
-    run: number,
-    nowMs: number,
-  ): void {
+  private recordRunFailure(task: TrackedTask, nowMs: number): void {
     const unit = task.unit!;
     this.clearCrashes(task);
-    if (unit.lastFailedRun !== run) {
-      unit.lastFailedRun = run;
+    if (!unit.isFailureCounted(task))
       this.attributeFailure(unit, agentOf(task.worker), nowMs);
-      for (const member of unit.tasks) {
-        member.failures++;
-        this.markDirty(member);
-      }
-    }
+    unit.recordFailure(task);
     this.endPlacement(task, nowMs);
     const {maxAttempts} = this.queueOf(unit);
-    if (task.failures >= maxAttempts && !unit.job.isEnded)
+    if (unit.failures >= maxAttempts && !unit.job.isEnded)
       this.finishJob(unit.job, JobResult.FAILED, nowMs);
   }
 
--- a/src/jobs/job_rows.ts
+++ b/src/jobs/job_rows.ts
@@ -25,7 +25,7 @@
   /** Key of the worker incarnation that it is placed on; empty when it is not placed. */
   readonly worker: string;
   readonly checkpoint: string;
-  /** Number of failed runs. */
+  /** See `TrackedTask.failures`. */
   readonly failures: number;
   /** Crashes of workers under the task; none if absent. */
   readonly crashes?: CrashCounts;
--- a/src/jobs/tracked_job.ts
+++ b/src/jobs/tracked_job.ts
@@ -40,6 +40,10 @@
   run: number;
   worker: string;
   checkpoint: string;
+  /**
+   * Number of failed runs when the newest run was placed, and one more if this task has ended
+   * that run as failed. `Unit.failures` is the number for all tasks of the unit.
+   */
   failures: number;
   crashes: CrashCounts;
   /** Whether a worker is known to have started a run of the task. */
@@ -144,8 +148,6 @@
   readonly failedAgents: string[] = [];
   /** Agents whose workers crashed under one of its runs. */
   readonly crashedAgents = new Set<string>();
-  /** Last run counted as failed; a gang counts one failure per run. */
-  lastFailedRun = 0;
 
   constructor(
     readonly step: TrackedStep,
@@ -188,6 +190,28 @@
     return this.tasks.some(t => mustRunAlone(t.crashes));
   }
 
+  /** Number of failed runs. */
+  get failures(): number {
+    return Math.max(...this.tasks.map(t => t.failures));
+  }
+
+  /**
+   * Whether the failure of the task's newest run has been counted, for another member that
+   * ended the same run as failed. The records show that to a later leader too.
+   */
+  isFailureCounted({run, failures}: TrackedTask): boolean {
+    const isCountedFor = (t: TrackedTask): boolean =>
+      !t.isPlaced && t.run === run && t.failures > failures;
+    // A leader of an earlier version counted a failure in the records of all members at once.
+    return failures >= run || this.tasks.some(isCountedFor);
+  }
+
+  /** Records that a member ended its newest run as failed; a run counts as one failure. */
+  recordFailure(task: TrackedTask): void {
+    const {failures} = this;
+    task.failures = this.isFailureCounted(task) ? failures : failures + 1;
+  }
+
   get nextRun(): number {
     return Math.max(...this.tasks.map(t => t.run)) + 1;
   }
