--- a/src/agent/job_agent.ts
+++ b/src/agent/job_agent.ts
@@ -499,9 +499,9 @@
   }
 
   /**
-   * Sees to it that no run starts on an order of before a report that the runs on the worker
-   * are over. The refusals of the withdrawn starts follow with the next report: the leader
-   * places a lost run elsewhere at once, and a refused one after a delay.
+   * Prevents starts that were ordered before this report, which says that the runs on the
+   * worker are over. The refusals of withdrawn starts are left to the next report, since the
+   * leader places a lost run elsewhere at once, but a refused one after a delay.
    */
   private bindToLoss(reportSentAtMs: number): void {
     this.startBarrier.raise(reportSentAtMs);
