Drop a repeated start whose placement has ended before it is sent

Found by reading; nobody reported it. A leader sends repeated starts at the end of a turn of its event loop. If it repeated a start and then, in the same turn, applied a report that the worker was lost, it sent the start after its answer to that report, so the agent took it for an order that takes the loss into account, and a task could run twice (TWICE).

Repeated starts are now checked against the placement when they are sent, as first starts are after their commit. The scenario "A leader repeats a start and hears in the same turn that the worker is lost" failed before, as the start was sent, and passes now.

--- a/src/jobs/job_engine.ts
+++ b/src/jobs/job_engine.ts
@@ -522,11 +522,18 @@
     this.log({event: 'headroom', workers});
   }
 
-  /** Returns the orders that depend on no row, and clears their list. */
+  /**
+   * Returns the orders that depend on no row, and clears their list. A start whose placement
+   * has ended since it was repeated is dropped: its agent takes what follows the answer to its
+   * report of a loss for an order that takes the loss into account.
+   */
   takeOrders(): AddressedOrder[] {
     const orders = this.readyOrders;
     this.readyOrders = [];
-    return orders;
+    return orders.filter(
+      ({order}) =>
+        order.type !== 'start' || this.findPlacedTask(order.worker, order),
+    );
   }
 
   /**
--- a/tests/features/loss_reports.feature
+++ b/tests/features/loss_reports.feature
@@ -39,3 +39,9 @@
     And the instance is suspended for 20000 ms
     And the agent reports to the leader, and the worker answers again
     Then run 1 is refused, and its start is not sent again
+
+  # Guards against a start of before a loss that the leader sends after it has answered the report.
+  Scenario: A leader repeats a start and hears in the same turn that the worker is lost
+    Given a leader that has ordered a start which the worker does not list
+    When it gets an inventory, and in the same turn a report that the worker is lost
+    Then it sends no start
--- a/tests/steps/loss_report_steps.ts
+++ b/tests/steps/loss_report_steps.ts
@@ -1,7 +1,11 @@
 /** Steps on starts that an agent gets or holds when it reports its worker as lost. */
 import assert from 'node:assert/strict';
 import {After, Given, Then, When} from '@cucumber/cucumber';
+import {type WorkerInventory} from '../../src/jobs/engine_messages.js';
+import {JobEngine} from '../../src/jobs/job_engine.js';
+import {workerKey} from '../../src/jobs/worker_pool.js';
 import {type AgentReport} from '../../src/protocol/job_messages.js';
+import {TEST_QUEUE, TEST_TABLES, makeStep} from '../fixtures/job_cluster.js';
 import {ScriptedAgent, WORKER_KEY} from '../fixtures/scripted_agent.js';
 
 const STEP_TIMEOUT_MS = 60_000;
@@ -177,3 +181,59 @@
 Then('the worker is not reported as lost', () => {
   assert.deepEqual(agent!.reports.filter(isLoss), []);
 });
+
+const RESEND_AFTER_MS = 2000;
+const INVENTORY: WorkerInventory = {
+  worker: {
+    id: 'w0',
+    bornMs: 1,
+    service: TEST_QUEUE.service,
+    dataCentre: 'dc1',
+    rack: 'r1',
+    labels: [],
+    capacity: makeStep().request,
+    draining: false,
+    drainRemainingMs: 0,
+  },
+  runs: [],
+  ends: [],
+};
+let engine: JobEngine;
+
+Given(
+  'a leader that has ordered a start which the worker does not list',
+  () => {
+    engine = new JobEngine(TEST_TABLES, {
+      contactTimeoutMs: 60_000,
+      endedJobRetentionMs: 60_000,
+      onEvent: () => undefined,
+    });
+    engine.recordInventory('a0', INVENTORY, 0);
+    const job = {
+      id: 'j1',
+      queue: TEST_QUEUE.name,
+      acceptedWallMs: 0,
+      payload: 'p',
+      steps: [makeStep()],
+      queueAtHandIn: TEST_QUEUE,
+    };
+    engine.addJob(job, 0, 0);
+    engine.plan(0);
+    const orders = engine.takeBatch()!.orders;
+    assert.equal(engine.confirmCommit(orders, 0).length, 1);
+  },
+);
+
+When(
+  'it gets an inventory, and in the same turn a report that the worker is lost',
+  () => {
+    engine.recordInventory('a0', INVENTORY, RESEND_AFTER_MS);
+    const key = workerKey('a0', 'w0', 1);
+    engine.markWorkerLost(key, 'all leases ran out', RESEND_AFTER_MS);
+  },
+);
+
+Then('it sends no start', () => {
+  const starts = engine.takeOrders().filter(o => o.order.type === 'start');
+  assert.deepEqual(starts, []);
+});
